--- a/src/bin/fawngauge-drill.rs
+++ b/src/bin/honeyknot-wirehost.rs
@@ -6,10 +6,10 @@
 fn main() -> ExitCode {
     // A panic is reported on the wire; the default hook would only repeat it on standard error.
     std::panic::set_hook(Box::new(|_| {}));
-    match fawngauge::wire::run(stdin().lock(), BufWriter::new(stdout().lock())) {
+    match honeyknot::wire::run(stdin().lock(), BufWriter::new(stdout().lock())) {
         Ok(()) => ExitCode::SUCCESS,
         Err(fault) => {
-            eprintln!("fawngauge-drill: {fault}");
+            eprintln!("honeyknot-wirehost: {fault}");
             ExitCode::from(2)
         }
     }
--- a/tests/long_run.rs
+++ b/tests/long_run.rs
@@ -6,8 +6,8 @@
 use std::sync::Arc;
 
 use common::*;
-use fawngauge::Balancer;
-use fawngauge::interface::*;
+use honeyknot::Balancer;
+use honeyknot::interface::*;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
