--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,8 @@
 
 pub mod decide;
 pub mod interface;
+pub mod logger;
+pub mod relay;
 pub mod wire;
 
 pub use decide::Balancer;
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,6 +3,8 @@
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
+use honeyknot::relay::{self, config::Config};
+use log::LevelFilter;
 
 /// Relay for the long-lived study sessions of the `accra-study` deployment.
 #[derive(Parser)]
@@ -14,13 +16,41 @@
 
 #[derive(Subcommand)]
 enum Command {
+    /// Serve until SIGTERM. The configuration is the file that EDGE_CONFIG names.
+    Serve {
+        /// The least level that is logged: error, warn, info or debug.
+        #[arg(long, default_value = "info", env = "HONEYKNOT_LOG")]
+        log: LevelFilter,
+    },
+    /// Read the configuration as `serve` would and say what it tells.
+    CheckConfig,
     /// Print name and version.
     Version,
 }
 
 fn main() -> ExitCode {
-    match Cli::parse().command {
-        Command::Version => println!("honeyknot {}", env!("CARGO_PKG_VERSION")),
+    let done = match Cli::parse().command {
+        Command::Serve { log } => {
+            honeyknot::logger::start(log);
+            Config::from_environment().and_then(relay::serve)
+        }
+        Command::CheckConfig => Config::from_environment().map(|config| describe(&config)),
+        Command::Version => {
+            println!("honeyknot {}", env!("CARGO_PKG_VERSION"));
+            Ok(())
+        }
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(why) => {
+            eprintln!("honeyknot: {why}");
+            ExitCode::from(2)
+        }
     }
-    ExitCode::SUCCESS
+}
+
+fn describe(config: &Config) {
+    println!("relay {} listens on {}, discovery at {}", config.name, config.listen, config.discovery);
+    let known = config.known.as_ref().map_or(0, |k| k.entries.len());
+    println!("{} descriptors, {known} card servers known", config.sockets);
 }
--- /dev/null
+++ b/src/relay/config.rs
@@ -0,0 +1,76 @@
+//! What a relay is told at its start.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use serde_json::Value;
+
+use super::lines::address;
+use super::roll::{RollNews, read_roll};
+use crate::interface::Settings;
+use crate::wire::{self, Names};
+
+/// Descriptors to live within where no limit is told.
+const SOCKETS: u64 = 1024;
+
+/// A relay's configuration.
+pub struct Config {
+    /// The relay's name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where discovery answers.
+    pub discovery: SocketAddr,
+    /// Seeds the decisions' random numbers.
+    pub seed: u64,
+    /// Descriptors that the process may hold.
+    pub sockets: usize,
+    /// The server roll as last held.
+    pub known: Option<RollNews>,
+    /// What the decisions are told.
+    pub settings: Settings,
+    /// The settings' names.
+    pub names: Names,
+}
+
+impl Config {
+    /// Reads `EDGE_CONFIG`'s file; the other variables, where set, go before what it says.
+    pub fn from_environment() -> Result<Config, String> {
+        let var = |name: &str| std::env::var(name).ok().filter(|v| !v.is_empty());
+        let path = var("EDGE_CONFIG").ok_or("EDGE_CONFIG is not set")?;
+        let text = std::fs::read(Path::new(&path)).map_err(|e| format!("{path}: {e}"))?;
+        Config::read(&text, var).map_err(|e| format!("{path}: {e}"))
+    }
+
+    /// Reads a configuration; `var` looks up the environment.
+    pub fn read(text: &[u8], var: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+        let value: Value = serde_json::from_slice(text).map_err(|e| format!("not JSON: {e}"))?;
+        let word = |name: &str, variable: &str| -> Result<String, String> {
+            let told = var(variable).or_else(|| value.get(name)?.as_str().map(str::to_owned));
+            told.ok_or_else(|| format!("neither `{name}` nor {variable} is given"))
+        };
+        let dialled = |name: &str, variable: &str| -> Result<SocketAddr, String> {
+            let text = word(name, variable)?;
+            address(&text).ok_or_else(|| format!("`{name}` is no address: {text}"))
+        };
+        let seed = value.get("seed").and_then(Value::as_str).ok_or("`seed` is missing")?;
+        let seed = u64::from_str_radix(seed, 16).map_err(|_| format!("`seed` is no hex number: {seed}"))?;
+        let sockets = match value.pointer("/limits/sockets") {
+            None | Some(Value::Null) => SOCKETS,
+            Some(v) => v.as_u64().ok_or("`limits.sockets` is no whole number")?,
+        };
+        let (settings, names) = wire::settings(value.get("settings").ok_or("`settings` is missing")?)?;
+        let known = value.get("known").filter(|v| !v.is_null());
+        let known = known.map(|v| read_roll(v, &names)).transpose().map_err(|e| format!("`known`: {e}"))?;
+        Ok(Config {
+            name: word("name", "EDGE_NAME")?,
+            listen: dialled("listen", "EDGE_LISTEN")?,
+            discovery: dialled("discovery", "EDGE_DISCOVERY")?,
+            seed,
+            sockets: usize::try_from(sockets).unwrap_or(usize::MAX),
+            known,
+            settings,
+            names,
+        })
+    }
+}
--- /dev/null
+++ b/src/relay/mod.rs
@@ -0,0 +1,544 @@
+//! The real relay: one [`Balancer`] whose events come from sockets and whose actions are carried out on them.
+//!
+//! Everything runs on one thread. Each study session is a task (`session`) that talks to the relay by plain
+//! calls and gets its orders by a queue of its own; no borrow of the relay is held across an await.
+
+pub mod clock;
+pub mod config;
+pub mod lines;
+pub mod probe;
+pub mod roll;
+pub mod session;
+pub mod shutdown;
+pub mod wheel;
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::rc::{Rc, Weak};
+use std::sync::Arc;
+use std::time::Duration;
+
+use log::{error, info, warn};
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::task::LocalSet;
+
+use crate::decide::Balancer;
+use crate::interface::*;
+use crate::wire::Names;
+use clock::Clock;
+use config::Config;
+use lines::SessionHead;
+use probe::Errand;
+use roll::{Ask, RollNews};
+use wheel::{Alarm, Timers};
+
+/// Descriptors kept for all that is no session: standard streams, the runtime's own, listener and discovery.
+const RESERVE: usize = 32;
+/// Of these, what is left when accepting pauses.
+const LAST_RESERVE: usize = 12;
+/// Pause after a failed accept: out of descriptors or memory, which passes as sessions end.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1024;
+/// Slow messages of one card server are told of this often.
+const DELAY_TOLD: Micros = 1_000_000;
+
+/// The relay as its tasks share it.
+pub type Shared = Rc<RefCell<Relay>>;
+
+/// What the decisions want of a study session.
+#[derive(Debug)]
+pub enum Order {
+    /// Dial this card server.
+    Place(Placement),
+    /// Turn the client away.
+    Refuse(Micros),
+    /// Tell the client that it failed.
+    Fail,
+    /// Send the client away politely.
+    Move,
+    /// Give up the attempt of this number.
+    Cancel(AttemptId),
+}
+
+/// An attempt to be made.
+#[derive(Clone, Debug)]
+pub struct Placement {
+    /// Its number.
+    pub attempt: AttemptId,
+    /// The card server.
+    pub server: ServerId,
+    /// Where this relay reaches it.
+    pub address: SocketAddr,
+    /// How long the answer may take.
+    pub timeout: Micros,
+}
+
+/// A study session as the relay knows it.
+struct Seat {
+    orders: UnboundedSender<Order>,
+    attempts: u32,
+    deadline: Micros,
+    out: Option<(AttemptId, ServerId, Micros)>,
+    stands: bool,
+}
+
+/// A descriptor in the count; dropping it gives it back.
+pub struct Held(Rc<Cell<usize>>);
+
+impl Held {
+    fn new(count: &Rc<Cell<usize>>) -> Held {
+        count.set(count.get() + 1);
+        Held(count.clone())
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.0.set(self.0.get().saturating_sub(1));
+    }
+}
+
+/// The one owner of the decisions and of what they need to know of the sockets.
+pub struct Relay {
+    /// Clock and wheel.
+    pub timers: Rc<Timers>,
+    /// The settings' names.
+    pub names: Names,
+    settings: Settings,
+    balancer: Balancer,
+    version: u64,
+    addresses: BTreeMap<ServerId, SocketAddr>,
+    /// Card servers that leave, and when this relay was told.
+    leaving: BTreeMap<ServerId, Micros>,
+    seats: BTreeMap<RequestId, Seat>,
+    last_id: u32,
+    probes: BTreeMap<ServerId, UnboundedSender<Errand>>,
+    /// Card servers whose messages are slow, and when that was last told.
+    slow: BTreeMap<ServerId, Micros>,
+    asks: UnboundedSender<Ask>,
+    roll_trouble: bool,
+    events: VecDeque<Event>,
+    descriptors: Rc<Cell<usize>>,
+    most_descriptors: usize,
+    closing: bool,
+    me: Weak<RefCell<Relay>>,
+}
+
+impl Relay {
+    /// A relay, and what it will ask of discovery.
+    pub fn new(config: Config) -> Result<(Shared, UnboundedReceiver<Ask>), String> {
+        let timers = Timers::new(Clock::start());
+        let balancer = Balancer::new(config.settings.clone(), config.seed, timers.clock.now())
+            .map_err(|e| format!("settings: {e}"))?;
+        let (asks, asked) = unbounded_channel();
+        let relay = Rc::new_cyclic(|me| {
+            RefCell::new(Relay {
+                timers,
+                names: config.names,
+                settings: config.settings,
+                balancer,
+                version: 0,
+                addresses: BTreeMap::new(),
+                leaving: BTreeMap::new(),
+                seats: BTreeMap::new(),
+                last_id: 0,
+                probes: BTreeMap::new(),
+                slow: BTreeMap::new(),
+                asks,
+                roll_trouble: false,
+                events: VecDeque::new(),
+                descriptors: Rc::default(),
+                most_descriptors: config.sockets,
+                closing: false,
+                me: me.clone(),
+            })
+        });
+        let known = config.known.unwrap_or(RollNews {
+            version: 0,
+            whole: true,
+            entries: Vec::new(),
+            addresses: Vec::new(),
+        });
+        relay.borrow_mut().take_known(known);
+        Ok((relay, asked))
+    }
+
+    // ---- Events ------------------------------------------------------------------------------------------
+
+    /// Tells the decisions of an event and carries out what they want, in order.
+    fn feed(&mut self, event: Event) {
+        self.events.push_back(event);
+        let mut actions = Vec::new();
+        while let Some(event) = self.events.pop_front() {
+            self.balancer.handle(self.timers.clock.now(), event, &mut actions);
+            for action in actions.drain(..) {
+                self.carry_out(action);
+            }
+        }
+    }
+
+    fn take_known(&mut self, news: RollNews) {
+        let update = ListUpdate::Cached(self.note_roll(news));
+        self.feed(Event::Servers { version: self.version, update });
+    }
+
+    /// News of the server roll. They are applied before anything else is sent.
+    pub fn take_roll(&mut self, news: RollNews) {
+        if std::mem::take(&mut self.roll_trouble) {
+            info!("roll: discovery answers again, version {}", news.version);
+        }
+        let whole = news.whole;
+        let entries = self.note_roll(news);
+        let update = if whole { ListUpdate::Full(entries) } else { ListUpdate::Delta(entries) };
+        self.feed(Event::Servers { version: self.version, update });
+    }
+
+    fn note_roll(&mut self, news: RollNews) -> Arc<Vec<ServerEntry>> {
+        let now = self.timers.clock.now();
+        self.version = news.version;
+        for entry in &news.entries {
+            if entry.state == ServerState::Ready {
+                self.leaving.remove(&entry.server);
+            } else {
+                self.leaving.entry(entry.server.clone()).or_insert(now);
+            }
+        }
+        if news.whole {
+            let named = |id: &ServerId| news.entries.iter().any(|e| e.server == *id);
+            let lost: Vec<ServerId> = self.addresses.keys().filter(|id| !named(id)).cloned().collect();
+            for id in lost {
+                self.leaving.entry(id).or_insert(now);
+            }
+        }
+        self.addresses.extend(news.addresses);
+        Arc::new(news.entries)
+    }
+
+    /// A call to discovery failed.
+    pub fn roll_failed(&mut self, why: &str) {
+        if !std::mem::replace(&mut self.roll_trouble, true) {
+            warn!("roll: discovery does not answer: {why}");
+        }
+        self.feed(Event::Servers { version: self.version, update: ListUpdate::Failed });
+    }
+
+    /// The version of the roll that is held.
+    pub fn roll_version(&self) -> u64 {
+        self.version
+    }
+
+    /// A client asks for a session. It gets orders until its seat is left.
+    pub fn ask(&mut self, head: &SessionHead) -> Result<(RequestId, UnboundedReceiver<Order>), &'static str> {
+        let request = self.request(head).ok_or("a client names no known class")?;
+        let (id, orders) = self.seat(&request);
+        self.feed(Event::Request(request));
+        Ok((id, orders))
+    }
+
+    /// A session that stood at a card server before this relay started is up again.
+    pub fn adopt(
+        &mut self, head: &SessionHead, server: ServerId,
+    ) -> Result<(RequestId, UnboundedReceiver<Order>), &'static str> {
+        let request = self.request(head).ok_or("a client names no known class")?;
+        let (id, orders) = self.seat(&request);
+        let now = self.timers.clock.now();
+        if let Some(seat) = self.seats.get_mut(&id) {
+            (seat.attempts, seat.stands) = (1, true);
+            seat.out = Some((AttemptId(0), server.clone(), now));
+        }
+        self.feed(Event::Adopted(request, server));
+        Ok((id, orders))
+    }
+
+    fn seat(&mut self, request: &Request) -> (RequestId, UnboundedReceiver<Order>) {
+        let (orders, queue) = unbounded_channel();
+        let deadline = self.timers.clock.now().saturating_add(request.time_left);
+        let seat = Seat { orders, attempts: 0, deadline, out: None, stands: false };
+        self.seats.insert(request.id, seat);
+        (request.id, queue)
+    }
+
+    fn request(&mut self, head: &SessionHead) -> Option<Request> {
+        let class = self.names.class(head.class()?)?;
+        let deadline = self.settings.classes.get(class.0)?.deadline;
+        self.last_id = self.last_id.wrapping_add(1);
+        Some(Request {
+            id: RequestId(self.last_id),
+            class,
+            key: Some(ClientKey(head.key().into())),
+            group: head.group().filter(|_| self.settings.groups).map(|g| GroupKey(g.into())),
+            tenant: head.tenant().and_then(|t| self.names.tenant(t)),
+            hint: head.hint,
+            time_left: head.patience_ms().map_or(deadline, |ms| ms.saturating_mul(1_000)),
+            returning: head.returning,
+            retry: head.retry,
+            mid_flow: false,
+        })
+    }
+
+    /// The card server's `UP` has come: the session stands.
+    pub fn stands(&mut self, id: RequestId) {
+        let Some(seat) = self.seats.get_mut(&id) else { return };
+        seat.stands = true;
+        let Some((attempt, server, sent)) = seat.out.clone() else { return };
+        let elapsed = self.timers.clock.now().saturating_sub(sent);
+        self.feed(Event::Established { id, attempt, server, elapsed });
+    }
+
+    /// The attempt that was out has ended; `closed` if the client has its answer by that.
+    pub fn attempt_ended(
+        &mut self, id: RequestId, outcome: Outcome, closed: bool, report: Option<LoadReport>,
+    ) {
+        let Some((attempt, server, sent)) = self.seats.get_mut(&id).and_then(|s| s.out.take()) else {
+            return;
+        };
+        let elapsed = self.timers.clock.now().saturating_sub(sent);
+        self.feed(Event::Outcome { id, attempt, outcome, closed, server, elapsed, report });
+    }
+
+    /// The session's task ends. Whatever the decisions still hold of it is settled.
+    pub fn left(&mut self, id: RequestId, answered: bool) {
+        let Some(seat) = self.seats.get(&id) else { return };
+        let out = seat.out.is_some();
+        if !answered && !seat.stands {
+            self.feed(Event::Abandoned(id));
+        }
+        if out {
+            self.attempt_ended(id, Outcome::Cancelled, true, None);
+        }
+        self.seats.remove(&id);
+    }
+
+    /// The card server told the session's load.
+    pub fn load_told(&mut self, id: RequestId, load: f64) {
+        self.noted(id, Note::Load(load));
+    }
+
+    /// A message took this long to be answered. Where that is told at all, it is told about once a second
+    /// while it is long, and once more when it no longer is.
+    pub fn message_took(&mut self, id: RequestId, took: Micros) {
+        let aims = self.settings.classes.iter().map(|c| c.message_aim).filter(|aim| *aim > 0);
+        let Some(aim) = aims.min().filter(|_| self.settings.tells_delay) else { return };
+        let Some((_, server, _)) = self.seats.get(&id).and_then(|s| s.out.as_ref()) else { return };
+        let (server, now) = (server.clone(), self.timers.clock.now());
+        if took > aim / 3 {
+            if self.slow.get(&server).is_some_and(|told| now < told + DELAY_TOLD) {
+                return;
+            }
+            self.slow.insert(server, now);
+        } else if self.slow.remove(&server).is_none() {
+            return;
+        }
+        self.noted(id, Note::Delay(took as f64 / 1e3));
+    }
+
+    fn noted(&mut self, id: RequestId, note: Note) {
+        let Some((attempt, server, _)) = self.seats.get(&id).and_then(|s| s.out.clone()) else { return };
+        self.feed(Event::Noted { id, attempt, server, note });
+    }
+
+    /// A probe has ended.
+    pub fn probed(
+        &mut self, server: ServerId, outcome: Outcome, elapsed: Micros, report: Option<LoadReport>,
+    ) {
+        self.feed(Event::Probed { server, outcome, elapsed, report });
+    }
+
+    // ---- Actions -----------------------------------------------------------------------------------------
+
+    fn carry_out(&mut self, action: Action) {
+        match action {
+            Action::Place { id, server, timeout } => self.place(id, server, timeout),
+            Action::Refuse { id, retry_after } => self.order(id, Order::Refuse(retry_after)),
+            Action::Fail(id) => self.order(id, Order::Fail),
+            Action::Move(id) => self.order(id, Order::Move),
+            Action::Cancel { id, attempt } => self.order(id, Order::Cancel(attempt)),
+            Action::Probe(server) => self.errand(server, Errand::Look),
+            Action::CloseIdle(server) => self.errand(server, Errand::Close),
+            Action::Timer { delay, token } => self.timers.decision(delay, token),
+            Action::Watch(on) => self.ask_discovery(Ask::Watch(on)),
+            Action::Fetch => self.ask_discovery(Ask::Fetch),
+            Action::Log(text) => info!("decision: {text}"),
+            // Relays have no way to talk to each other here; the settings tell the decisions so.
+            Action::Tell { .. } => {}
+        }
+    }
+
+    fn place(&mut self, id: RequestId, server: ServerId, timeout: Micros) {
+        let now = self.timers.clock.now();
+        let Some(seat) = self.seats.get_mut(&id) else { return };
+        let attempt = AttemptId(seat.attempts);
+        seat.attempts += 1;
+        let left = seat.deadline.saturating_sub(now);
+        let timeout = if timeout == 0 { left } else { timeout.min(left) };
+        let spent = attempt.0 >= self.settings.permissions.max_attempts || left == 0 || seat.stands;
+        let ends = match self.addresses.get(&server) {
+            _ if spent => Outcome::Moot,
+            None => Outcome::ConnectFailed,
+            Some(&address) => {
+                seat.out = Some((attempt, server.clone(), now));
+                let _ = seat.orders.send(Order::Place(Placement { attempt, server, address, timeout }));
+                return;
+            }
+        };
+        let (outcome, closed, report) = (ends, false, None);
+        self.events.push_back(Event::Outcome { id, attempt, outcome, closed, server, elapsed: 0, report });
+    }
+
+    fn order(&mut self, id: RequestId, order: Order) {
+        if let Some(seat) = self.seats.get(&id) {
+            // A session that has just ended no longer listens; its last word settles the request.
+            let _ = seat.orders.send(order);
+        }
+    }
+
+    fn errand(&mut self, server: ServerId, errand: Errand) {
+        let Some(me) = self.me.upgrade() else { return };
+        let probe = self.probes.entry(server.clone()).or_insert_with(|| probe::start(me, server));
+        let _ = probe.send(errand);
+    }
+
+    fn ask_discovery(&mut self, ask: Ask) {
+        let _ = self.asks.send(ask);
+    }
+
+    // ---- What tasks need to know --------------------------------------------------------------------------
+
+    /// Where this relay reaches a card server.
+    pub fn address(&self, server: &ServerId) -> Option<SocketAddr> {
+        self.addresses.get(server).copied()
+    }
+
+    /// Whether a head may still be written to a card server. Guards against an attempt that was placed before
+    /// the news of a drain and connects long after it.
+    pub fn may_still_send(&self, server: &ServerId) -> bool {
+        let grace = self.settings.rules.drain_grace / 2;
+        self.leaving.get(server).is_none_or(|told| self.timers.clock.now() < told + grace)
+    }
+
+    /// A connection that is not up after this has failed.
+    pub fn connect_timeout(&self) -> Micros {
+        match self.settings.permissions.connect_timeout {
+            0 => 1_000_000,
+            limit => limit,
+        }
+    }
+
+    /// A connection without use is closed after this.
+    pub fn idle_close(&self) -> Micros {
+        self.settings.permissions.idle_close.max(1_000_000)
+    }
+
+    /// A request is overdue this long after its deadline.
+    pub fn answer_grace(&self) -> Micros {
+        self.settings.rules.answer_grace
+    }
+
+    /// The longest that a client is to stay away.
+    pub fn longest_away(&self) -> Micros {
+        if self.settings.permissions.retry_after { self.settings.permissions.max_retry_after } else { 0 }
+    }
+
+    /// The longest deadline of any class.
+    pub fn longest_deadline(&self) -> Micros {
+        self.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0)
+    }
+
+    /// A further descriptor, unless they would run out.
+    pub fn hold_descriptor(&self) -> Option<Held> {
+        let most = self.most_descriptors.saturating_sub(RESERVE);
+        (self.descriptors.get() < most).then(|| Held::new(&self.descriptors))
+    }
+
+    /// Whether a newcomer may be let in.
+    pub fn may_let_in(&self) -> bool {
+        !self.closing && (self.seats.len() as u64) < self.settings.permissions.max_open
+    }
+
+    /// Whether the relay is on its way out.
+    pub fn closing(&self) -> bool {
+        self.closing
+    }
+
+    /// Sessions that stand, and requests still open.
+    fn open(&self) -> (Vec<RequestId>, usize) {
+        let standing: Vec<RequestId> =
+            self.seats.iter().filter(|(_, s)| s.stands).map(|(id, _)| *id).collect();
+        let asking = self.seats.len() - standing.len();
+        (standing, asking)
+    }
+}
+
+/// Serves until it is told to stop.
+pub fn serve(config: Config) -> Result<(), String> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| format!("the runtime does not start: {e}"))?;
+    LocalSet::new().block_on(&runtime, serve_here(config))
+}
+
+async fn serve_here(config: Config) -> Result<(), String> {
+    let (name, listen, discovery) = (config.name.clone(), config.listen, config.discovery);
+    let stop = shutdown::signal()?;
+    let (relay, asks) = Relay::new(config)?;
+    let listener = open_listener(listen).map_err(|e| format!("{listen}: {e}"))?;
+    tokio::task::spawn_local(roll::follow(relay.clone(), discovery, asks));
+    tokio::task::spawn_local(turn_wheel(relay.clone()));
+    tokio::task::spawn_local(accept(relay.clone(), listener));
+    info!("relay {name}: serving on {listen}, roll version {}", relay.borrow().version);
+    stop.await;
+    shutdown::drain(relay).await;
+    info!("relay {name}: stopped");
+    Ok(())
+}
+
+fn open_listener(at: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = if at.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    // A relay that was killed comes back to the same address while old connections still fade.
+    socket.set_reuseaddr(true)?;
+    socket.bind(at)?;
+    socket.listen(BACKLOG)
+}
+
+async fn turn_wheel(relay: Shared) {
+    let timers = relay.borrow().timers.clone();
+    let mut ticks = tokio::time::interval(Duration::from_micros(wheel::TICK));
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
+    loop {
+        ticks.tick().await;
+        for alarm in timers.due() {
+            match alarm {
+                Alarm::Wake(task) => task.wake(),
+                Alarm::Decision(token) => relay.borrow_mut().feed(Event::Timer(token)),
+            }
+        }
+    }
+}
+
+async fn accept(relay: Shared, listener: TcpListener) {
+    let descriptors = relay.borrow().descriptors.clone();
+    let most = relay.borrow().most_descriptors.saturating_sub(LAST_RESERVE);
+    let mut trouble = false;
+    loop {
+        if descriptors.get() >= most {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        }
+        match listener.accept().await {
+            Ok((client, _)) => {
+                trouble = false;
+                let held = Held::new(&descriptors);
+                tokio::task::spawn_local(session::serve(relay.clone(), client, held));
+            }
+            Err(e) => {
+                // Guards against ending for want of descriptors (EMFILE), and against a line for each try.
+                if !std::mem::replace(&mut trouble, true) {
+                    error!("relay: cannot accept: {e}");
+                }
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/relay/session.rs
@@ -0,0 +1,642 @@
+//! One study session: its head, its attempts, the lines that pass, and its end.
+
+use std::io;
+use std::rc::Rc;
+
+use bytes::{Buf, BytesMut};
+use log::debug;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::mpsc::UnboundedReceiver;
+
+use super::lines::{self, FAILED, LineWatch, MOVE, Malformed, SessionHead, Word, report_value};
+use super::wheel::Timers;
+use super::{Held, Order, Placement, Shared};
+use crate::interface::*;
+
+/// A first line that is not whole after this is not waited for.
+const HEAD_WAIT: Micros = 5_000_000;
+/// A front layer may keep a connection for its own `PING`s this long.
+const FRONT_WAIT: Micros = 60_000_000;
+/// Buffers of a session, each way: more than the longest line, so that one always fits.
+const BUFFER: usize = 4096;
+/// A last line and the end of a connection are given this long to get through.
+const FAREWELL: Micros = 300_000;
+/// Lines of the client without any answer for this long: the card server is silent and the client is moved.
+const SILENCE: Micros = 5_500_000;
+/// How often a standing session looks after itself.
+const LOOK: Micros = 250_000;
+/// A card server that has ended a session, or a move that waits for the end of a line, holds it no longer.
+const HURRY: Micros = 600_000;
+/// A session from before the run is tried again after this ...
+const ADOPT_AGAIN: Micros = 100_000;
+/// ... each try this long ...
+const ADOPT_TRY: Micros = 5_000_000;
+/// ... and given up after this.
+const ADOPT_WAIT: Micros = 40_000_000;
+
+/// Serves a connection that a front layer or a client has opened.
+pub async fn serve(relay: Shared, client: TcpStream, held: Held) {
+    let _ = client.set_nodelay(true);
+    let timers = relay.borrow().timers.clone();
+    let mut side = Client { stream: client, bytes: BytesMut::with_capacity(512), timers, _held: held };
+    match side.first_line(&relay).await {
+        Ok(Some(head)) => match head.holder().map(|id| ServerId(id.into())) {
+            Some(server) => adopt(relay, side, head, server).await,
+            None => study(relay, side, head).await,
+        },
+        Ok(None) => {}
+        Err(Malformed(why)) => {
+            debug!("client: {why}");
+            side.farewell(FAILED).await;
+        }
+    }
+}
+
+/// The client's side of a session.
+struct Client {
+    stream: TcpStream,
+    /// What the client sent beyond its head.
+    bytes: BytesMut,
+    timers: Rc<Timers>,
+    _held: Held,
+}
+
+impl Client {
+    /// Reads lines until the head of a session; none if there is nothing to answer.
+    async fn first_line(&mut self, relay: &Shared) -> Result<Option<SessionHead>, Malformed> {
+        let timers = self.timers.clone();
+        let mut wait = HEAD_WAIT;
+        loop {
+            let end = tokio::select! {
+                end = self.line() => end?,
+                () = timers.nap(wait) => return Err(Malformed("a first line is not whole in time")),
+            };
+            let Some(end) = end else { return Ok(None) };
+            let line = self.bytes.split_to(end).freeze();
+            if lines::bare(&line) != b"PING" {
+                return SessionHead::parse(line).map(Some);
+            }
+            let answer: &[u8] = if relay.borrow().closing() { b"BUSY\r\n" } else { b"PONG\r\n" };
+            if self.stream.write_all(answer).await.is_err() {
+                return Ok(None);
+            }
+            wait = FRONT_WAIT;
+        }
+    }
+
+    /// Reads until a line is whole; none if the client leaves before it begins one.
+    async fn line(&mut self) -> Result<Option<usize>, Malformed> {
+        loop {
+            if let Some(end) = lines::first_line(&self.bytes)? {
+                return Ok(Some(end));
+            }
+            match self.stream.read_buf(&mut self.bytes).await {
+                Ok(0) if !self.bytes.is_empty() => return Err(Malformed("a first line is cut short")),
+                Ok(0) | Err(_) => return Ok(None),
+                Ok(_) => {}
+            }
+        }
+    }
+
+    /// Waits until the client leaves. What it sends meanwhile is kept, up to a buffer.
+    async fn gone(&mut self) {
+        while self.bytes.len() < BUFFER {
+            match self.stream.read_buf(&mut self.bytes).await {
+                Ok(0) | Err(_) => return,
+                Ok(_) => {}
+            }
+        }
+        std::future::pending().await
+    }
+
+    /// Sends a last line and ends the connection.
+    async fn farewell(mut self, line: &[u8]) {
+        tokio::select! {
+            _ = self.stream.write_all(line) => {}
+            () = self.timers.nap(FAREWELL) => {}
+        }
+        end(&self.timers, self.stream).await;
+    }
+}
+
+/// Ends a connection so that what was written last still arrives: closing with unread bytes would reset it.
+async fn end(timers: &Rc<Timers>, mut stream: TcpStream) {
+    let _ = stream.shutdown().await;
+    let rest = async {
+        let mut sink = [0; 512];
+        while stream.read(&mut sink).await.is_ok_and(|n| n > 0) {}
+    };
+    tokio::select! {
+        () = rest => {}
+        () = timers.nap(FAREWELL) => {}
+    }
+}
+
+/// Ends a connection as its other side ended: with a reset, or in order.
+async fn mirror(timers: &Rc<Timers>, stream: TcpStream, reset: bool) {
+    if reset {
+        // Dropped now, it is reset.
+        let _ = stream.set_zero_linger();
+    } else {
+        end(timers, stream).await;
+    }
+}
+
+/// The session's place at the relay, left whatever way its task ends.
+struct SeatGuard {
+    relay: Shared,
+    id: RequestId,
+    answered: bool,
+}
+
+impl Drop for SeatGuard {
+    fn drop(&mut self) {
+        self.relay.borrow_mut().left(self.id, self.answered);
+    }
+}
+
+/// A time to come back in, within what clients honour.
+fn come_back(relay: &Shared) -> u64 {
+    relay.borrow().longest_away() / 1_000
+}
+
+async fn study(relay: Shared, client: Client, head: SessionHead) {
+    let second = relay.borrow().hold_descriptor().filter(|_| relay.borrow().may_let_in());
+    let Some(second) = second else {
+        let line = lines::busy(come_back(&relay));
+        return client.farewell(&line).await;
+    };
+    let asked = relay.borrow_mut().ask(&head);
+    let (id, orders) = match asked {
+        Ok(asked) => asked,
+        Err(why) => {
+            debug!("client: {why}");
+            return client.farewell(FAILED).await;
+        }
+    };
+    let seat = SeatGuard { relay: relay.clone(), id, answered: false };
+    Session { relay, client, head, orders, seat, _second: second }.run().await;
+}
+
+/// How an attempt went.
+enum Came {
+    /// The card server took the session; what it has sent so far begins with its `UP`.
+    Up(TcpStream, BytesMut),
+    /// It ended without a session.
+    Ended(Outcome, Option<LoadReport>),
+    /// The card server served it to its end at once; these are its words.
+    Served(BytesMut),
+    /// The client left.
+    Left,
+    /// The decisions answered while it was out.
+    Answered(Order),
+}
+
+/// A session that is not standing yet.
+struct Session {
+    relay: Shared,
+    client: Client,
+    head: SessionHead,
+    orders: UnboundedReceiver<Order>,
+    seat: SeatGuard,
+    _second: Held,
+}
+
+impl Session {
+    async fn run(mut self) {
+        let timers = self.client.timers.clone();
+        let patience = self
+            .head
+            .patience_ms()
+            .map_or_else(|| self.relay.borrow().longest_deadline(), |ms| ms.saturating_mul(1_000));
+        // Guards against a request that the decisions forget: it still gets its one answer in time.
+        let overdue = timers.nap(patience.saturating_add(self.relay.borrow().answer_grace()));
+        tokio::pin!(overdue);
+        loop {
+            let order = tokio::select! {
+                biased;
+                order = self.orders.recv() => order.unwrap_or(Order::Fail),
+                () = self.client.gone() => return,
+                () = &mut overdue => {
+                    self.relay.borrow_mut().left(self.seat.id, false);
+                    Order::Fail
+                }
+            };
+            match order {
+                Order::Place(place) => match self.attempt(&place).await {
+                    Came::Up(server, first) => return self.stand(server, first).await,
+                    Came::Ended(outcome, report) => {
+                        self.relay.borrow_mut().attempt_ended(self.seat.id, outcome, false, report);
+                    }
+                    Came::Served(words) => {
+                        self.relay.borrow_mut().attempt_ended(self.seat.id, Outcome::Ok, true, None);
+                        return self.answer(&words).await;
+                    }
+                    Came::Left => return,
+                    Came::Answered(order) => {
+                        self.relay.borrow_mut().attempt_ended(self.seat.id, Outcome::Cancelled, true, None);
+                        return self.answer(&final_line(&order)).await;
+                    }
+                },
+                Order::Refuse(_) | Order::Fail => return self.answer(&final_line(&order)).await,
+                // Nothing is out and nothing stands.
+                Order::Cancel(_) | Order::Move => {}
+            }
+        }
+    }
+
+    async fn answer(mut self, line: &[u8]) {
+        self.seat.answered = true;
+        drop(self.seat);
+        self.client.farewell(line).await;
+    }
+
+    /// One attempt. Whatever ends it, its connection is closed before this returns, unless it stands.
+    async fn attempt(&mut self, place: &Placement) -> Came {
+        let timers = self.client.timers.clone();
+        let sent = Sent::default();
+        let due = timers.clock.now() + place.timeout;
+        let dial = dial(&self.relay, &self.head, place, due, &sent);
+        tokio::pin!(dial);
+        loop {
+            tokio::select! {
+                biased;
+                came = &mut dial => return came,
+                () = timers.until(due) => {
+                    let outcome = if sent.get() { Outcome::Timeout } else { Outcome::ConnectFailed };
+                    return Came::Ended(outcome, None);
+                }
+                order = self.orders.recv() => match order {
+                    Some(Order::Cancel(attempt)) if attempt == place.attempt => {
+                        return Came::Ended(Outcome::Cancelled, None);
+                    }
+                    Some(order @ (Order::Refuse(_) | Order::Fail)) => return Came::Answered(order),
+                    Some(_) => {}
+                    None => return Came::Answered(Order::Fail),
+                },
+                () = self.client.gone() => return Came::Left,
+            }
+        }
+    }
+
+    async fn stand(self, server: TcpStream, first: BytesMut) {
+        self.relay.borrow_mut().stands(self.seat.id);
+        pump(self.relay, self.client, self.orders, self.seat, server, first).await;
+    }
+}
+
+/// Whether the last byte of the head was written: up to then the card server cannot have run it.
+type Sent = std::cell::Cell<bool>;
+
+fn final_line(order: &Order) -> Vec<u8> {
+    match order {
+        // Rounded up: a client that comes back too early is turned away again.
+        Order::Refuse(after) => lines::busy(after.div_ceil(1_000)),
+        _ => FAILED.to_vec(),
+    }
+}
+
+/// Connects, sends the head and reads the card server's first line.
+async fn dial(relay: &Shared, head: &SessionHead, place: &Placement, due: Micros, sent: &Sent) -> Came {
+    let timers = relay.borrow().timers.clone();
+    let wait = relay.borrow().connect_timeout();
+    let dialled = tokio::select! {
+        dialled = TcpStream::connect(place.address) => dialled.ok(),
+        () = timers.nap(wait) => None,
+    };
+    let Some(mut server) = dialled.filter(|_| relay.borrow().may_still_send(&place.server)) else {
+        return Came::Ended(Outcome::ConnectFailed, None);
+    };
+    let _ = server.set_nodelay(true);
+    let left = due.saturating_sub(timers.clock.now()) / 1_000;
+    if write_head(&mut server, head, left.max(1)).await.is_err() {
+        return Came::Ended(Outcome::ConnectFailed, None);
+    }
+    sent.set(true);
+    read_answer(relay, server).await
+}
+
+/// Writes the head with another wait, gathered from its pieces.
+async fn write_head(server: &mut TcpStream, head: &SessionHead, wait_ms: u64) -> io::Result<()> {
+    let digits = wait_ms.to_string();
+    let mut pieces = head.with_patience(digits.as_bytes());
+    let mut pieces = &mut pieces[..];
+    while pieces.iter().any(|p| !p.is_empty()) {
+        let written = server.write_vectored(pieces).await?;
+        if written == 0 {
+            return Err(io::ErrorKind::WriteZero.into());
+        }
+        io::IoSlice::advance_slices(&mut pieces, written);
+    }
+    Ok(())
+}
+
+async fn read_answer(relay: &Shared, mut server: TcpStream) -> Came {
+    let mut bytes = BytesMut::with_capacity(512);
+    let end = loop {
+        match lines::first_line(&bytes) {
+            Ok(Some(end)) => break end,
+            Ok(None) => {}
+            Err(_) => return Came::Ended(Outcome::Error, None),
+        }
+        match server.read_buf(&mut bytes).await {
+            Ok(0) | Err(_) => return Came::Ended(Outcome::Reset, None),
+            Ok(_) => {}
+        }
+    };
+    let report = |text: &str| {
+        let relay = relay.borrow();
+        (!text.is_empty()).then(|| relay.names.load_report(|name| report_value(text, name)))
+    };
+    match Word::read(&bytes[..end]) {
+        Word::Up => Came::Up(server, bytes),
+        Word::Bye(_) => Came::Served(bytes),
+        Word::Move => Came::Ended(Outcome::Cancelled, None),
+        Word::Busy(text) => Came::Ended(Outcome::Full, report(text)),
+        Word::Err(text) => Came::Ended(Outcome::Error, report(text)),
+        _ => Came::Ended(Outcome::Error, None),
+    }
+}
+
+/// A session that stood at a card server before the run: it goes to that one, however late the roll names it.
+async fn adopt(relay: Shared, mut client: Client, head: SessionHead, server: ServerId) {
+    let Some(_second) = relay.borrow().hold_descriptor() else {
+        let line = lines::busy(come_back(&relay));
+        return client.farewell(&line).await;
+    };
+    let timers = client.timers.clone();
+    let up = tokio::select! {
+        up = find_again(&relay, &head, &server) => Some(up),
+        () = client.gone() => return,
+        () = timers.nap(ADOPT_WAIT) => None,
+    };
+    let Some((stream, first)) = up else { return client.farewell(FAILED).await };
+    let adopted = relay.borrow_mut().adopt(&head, server);
+    let Ok((id, orders)) = adopted else { return client.farewell(FAILED).await };
+    let seat = SeatGuard { relay: relay.clone(), id, answered: false };
+    pump(relay, client, orders, seat, stream, first).await;
+}
+
+/// Dials the card server of a session from before the run until it is up there.
+async fn find_again(relay: &Shared, head: &SessionHead, server: &ServerId) -> (TcpStream, BytesMut) {
+    let timers = relay.borrow().timers.clone();
+    loop {
+        let address = relay.borrow().address(server);
+        if let Some(address) = address {
+            let came = tokio::select! {
+                came = dial_again(relay, head, address) => came,
+                () = timers.nap(ADOPT_TRY) => None,
+            };
+            if let Some(up) = came {
+                return up;
+            }
+        }
+        timers.nap(ADOPT_AGAIN).await;
+    }
+}
+
+async fn dial_again(
+    relay: &Shared, head: &SessionHead, address: std::net::SocketAddr,
+) -> Option<(TcpStream, BytesMut)> {
+    let mut server = TcpStream::connect(address).await.ok()?;
+    let _ = server.set_nodelay(true);
+    server.write_all(head.as_sent()).await.ok()?;
+    match read_answer(relay, server).await {
+        Came::Up(server, bytes) => Some((server, bytes)),
+        _ => None,
+    }
+}
+
+/// How a standing session ends.
+enum Ending {
+    /// The card server ended it, perhaps with a reset.
+    Server { reset: bool },
+    /// The client ended it, perhaps with a reset.
+    Client { reset: bool },
+    /// The decisions, or the relay's own end, move the client.
+    Moved,
+    /// The card server says nothing more.
+    Silent,
+}
+
+/// What the last whole line of the card server was.
+#[derive(Clone, Copy, PartialEq)]
+enum Last {
+    Bye,
+    Move,
+    Err,
+    Other,
+}
+
+/// Both sides of a standing session and what is on its way between them.
+struct Pump {
+    relay: Shared,
+    id: RequestId,
+    client: TcpStream,
+    server: TcpStream,
+    to_client: BytesMut,
+    to_server: BytesMut,
+    watch: LineWatch,
+    last: Last,
+    /// The card server's end, and when it came.
+    server_end: Option<(bool, Micros)>,
+    client_end: Option<(bool, Micros)>,
+    move_from: Option<Micros>,
+    /// Since when lines of the client wait for anything to come back.
+    unanswered: Option<Micros>,
+    timers: Rc<Timers>,
+}
+
+async fn pump(
+    relay: Shared, client: Client, mut orders: UnboundedReceiver<Order>, mut seat: SeatGuard,
+    server: TcpStream, first: BytesMut,
+) {
+    let timers = client.timers.clone();
+    let mut pump = Pump {
+        relay: relay.clone(),
+        id: seat.id,
+        client: client.stream,
+        server,
+        to_client: BytesMut::new(),
+        to_server: client.bytes,
+        watch: LineWatch::default(),
+        last: Last::Other,
+        server_end: None,
+        client_end: None,
+        move_from: None,
+        unanswered: None,
+        timers: timers.clone(),
+    };
+    pump.from_server(first);
+    let ending = pump.run(&mut orders).await;
+    let outcome = match (&ending, pump.last) {
+        (Ending::Client { .. } | Ending::Moved, _) => Outcome::Cancelled,
+        (Ending::Silent, _) => Outcome::Reset,
+        (Ending::Server { .. }, Last::Bye) => Outcome::Ok,
+        (Ending::Server { .. }, Last::Move) => Outcome::Cancelled,
+        (Ending::Server { .. }, Last::Err) => Outcome::Error,
+        (Ending::Server { .. }, Last::Other) => Outcome::Reset,
+    };
+    relay.borrow_mut().attempt_ended(seat.id, outcome, true, None);
+    seat.answered = true;
+    drop(seat);
+    pump.close(ending).await;
+}
+
+impl Pump {
+    async fn run(&mut self, orders: &mut UnboundedReceiver<Order>) -> Ending {
+        let look = self.timers.nap(LOOK);
+        tokio::pin!(look);
+        loop {
+            self.push();
+            if let Some(ending) = self.ended() {
+                return ending;
+            }
+            tokio::select! {
+                biased;
+                order = orders.recv(), if self.move_from.is_none() => {
+                    // Once a session stands, only a move can be wanted of it.
+                    if matches!(order, Some(Order::Move) | None) {
+                        self.move_from = Some(self.timers.clock.now());
+                    }
+                }
+                ready = self.server.readable(), if self.server_end.is_none() && self.to_client.is_empty() => {
+                    if ready.is_ok() {
+                        self.read_server();
+                    }
+                }
+                ready = self.client.readable(), if self.client_end.is_none() && self.to_server.is_empty() => {
+                    if ready.is_ok() {
+                        self.read_client();
+                    }
+                }
+                _ = self.client.writable(), if !self.to_client.is_empty() => {}
+                _ = self.server.writable(), if !self.to_server.is_empty() => {}
+                () = &mut look => look.set(self.timers.nap(LOOK)),
+            }
+        }
+    }
+
+    /// Writes what waits, as far as it goes.
+    fn push(&mut self) {
+        let now = self.timers.clock.now();
+        if let Err(e) = write_some(&self.client, &mut self.to_client) {
+            self.client_end.get_or_insert((is_reset(&e), now));
+            self.to_client.clear();
+        }
+        // Reading tells how the card server ended. Guards against losing its last lines, which may lie unread
+        // when a write finds its side closed.
+        if write_some(&self.server, &mut self.to_server).is_err() {
+            self.to_server.clear();
+        }
+    }
+
+    fn ended(&self) -> Option<Ending> {
+        let now = self.timers.clock.now();
+        let late = |since: Micros| now >= since + HURRY;
+        if let Some((reset, since)) = self.client_end
+            && (self.to_server.is_empty() || late(since))
+        {
+            return Some(Ending::Client { reset });
+        }
+        if let Some((reset, since)) = self.server_end
+            && (self.to_client.is_empty() || late(since))
+        {
+            return Some(Ending::Server { reset });
+        }
+        if let Some(since) = self.move_from
+            && (self.between_lines() || late(since))
+        {
+            return Some(Ending::Moved);
+        }
+        self.unanswered.is_some_and(|since| now >= since + SILENCE).then_some(Ending::Silent)
+    }
+
+    fn between_lines(&self) -> bool {
+        self.to_client.is_empty() && self.watch.between_lines()
+    }
+
+    fn read_server(&mut self) {
+        let mut bytes = BytesMut::with_capacity(BUFFER);
+        match self.server.try_read_buf(&mut bytes) {
+            Ok(0) => self.server_end = Some((false, self.timers.clock.now())),
+            Ok(_) => self.from_server(bytes),
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+            Err(e) => self.server_end = Some((is_reset(&e), self.timers.clock.now())),
+        }
+    }
+
+    /// Lines of the card server: passed on as they are, its load told to the decisions.
+    fn from_server(&mut self, bytes: BytesMut) {
+        let (mut load, mut answered, mut last) = (None, false, self.last);
+        self.watch.pass(&bytes, |word| {
+            answered |= !matches!(word, Word::Load(_));
+            last = match word {
+                Word::Bye(_) => Last::Bye,
+                Word::Move => Last::Move,
+                Word::Err(_) => Last::Err,
+                Word::Load(now) => {
+                    load = Some(now);
+                    Last::Other
+                }
+                _ => Last::Other,
+            };
+        });
+        self.last = last;
+        let asked = self.unanswered.take();
+        if let Some(since) = asked.filter(|_| answered) {
+            let took = self.timers.clock.now().saturating_sub(since);
+            self.relay.borrow_mut().message_took(self.id, took);
+        }
+        if let Some(load) = load {
+            self.relay.borrow_mut().load_told(self.id, load);
+        }
+        self.to_client.unsplit(bytes);
+    }
+
+    fn read_client(&mut self) {
+        self.to_server.reserve(BUFFER);
+        let now = self.timers.clock.now();
+        match self.client.try_read_buf(&mut self.to_server) {
+            Ok(0) => self.client_end = Some((false, now)),
+            Ok(_) => {
+                self.unanswered.get_or_insert(now);
+            }
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+            Err(e) => self.client_end = Some((is_reset(&e), now)),
+        }
+    }
+
+    /// Ends what is left of the session: the other side in the same way, or both after a `MOVE`.
+    async fn close(self, ending: Ending) {
+        let Pump { client, server, timers, watch, to_client, .. } = self;
+        match ending {
+            Ending::Server { reset } => mirror(&timers, client, reset).await,
+            Ending::Client { reset } => mirror(&timers, server, reset).await,
+            Ending::Moved | Ending::Silent => {
+                if to_client.is_empty() && watch.between_lines() {
+                    // It fits: nothing else waits to be sent.
+                    let _ = client.try_write(MOVE);
+                }
+                tokio::join!(end(&timers, client), end(&timers, server));
+            }
+        }
+    }
+}
+
+fn is_reset(e: &io::Error) -> bool {
+    !matches!(e.kind(), io::ErrorKind::BrokenPipe | io::ErrorKind::NotConnected)
+}
+
+/// Writes as much as the socket takes now.
+fn write_some(stream: &TcpStream, bytes: &mut BytesMut) -> io::Result<()> {
+    while !bytes.is_empty() {
+        match stream.try_write(bytes) {
+            Ok(n) => bytes.advance(n),
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
+            Err(e) => return Err(e),
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/relay/shutdown.rs
@@ -0,0 +1,75 @@
+//! A planned restart: newcomers are refused, open requests settled, and every study session moved at a pace.
+
+use std::future::Future;
+
+use log::info;
+use tokio::signal::unix::{SignalKind, signal as listen_for};
+
+use super::{Order, Shared};
+use crate::interface::Micros;
+
+/// The front layer still sends newcomers for this long: a client moved earlier could come back here.
+const FRONT_NOTICES: Micros = 400_000;
+/// The longest deadline that is waited for before the kill.
+const LONGEST_WAIT: Micros = 3_000_000;
+/// The kill comes this long after the longest deadline.
+const KILL_AFTER: Micros = 700_000;
+/// What is left before the kill when the last session is moved, and when the relay exits.
+const MOVED_BEFORE: Micros = 600_000;
+const GONE_BEFORE: Micros = 300_000;
+/// Step in which sessions are moved.
+const STEP: Micros = 20_000;
+
+/// Resolves when the relay is asked to stop.
+pub fn signal() -> Result<impl Future<Output = ()>, String> {
+    let told = |kind| listen_for(kind).map_err(|e| format!("cannot listen for signals: {e}"));
+    let (mut term, mut interrupt) = (told(SignalKind::terminate())?, told(SignalKind::interrupt())?);
+    Ok(async move {
+        tokio::select! {
+            _ = term.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+    })
+}
+
+/// How many of the sessions that stand are to be moved in this step so that all are by the end.
+pub fn due_now(standing: usize, left: Micros) -> usize {
+    let steps = (left / STEP).max(1) as usize;
+    standing.div_ceil(steps)
+}
+
+/// Empties the relay. Returns well before the kill.
+pub async fn drain(relay: Shared) {
+    relay.borrow_mut().closing = true;
+    let timers = relay.borrow().timers.clone();
+    let began = timers.clock.now();
+    let kill = began + relay.borrow().longest_deadline().min(LONGEST_WAIT) + KILL_AFTER;
+    info!("shutdown: {} sessions stand", relay.borrow().open().0.len());
+    timers.until((began + FRONT_NOTICES).min(kill - KILL_AFTER)).await;
+    loop {
+        let now = timers.clock.now();
+        let (standing, asking) = relay.borrow().open();
+        if standing.is_empty() && asking == 0 || now >= kill - GONE_BEFORE {
+            break;
+        }
+        let due = due_now(standing.len(), (kill - MOVED_BEFORE).saturating_sub(now));
+        for id in standing.into_iter().take(due) {
+            relay.borrow_mut().order(id, Order::Move);
+        }
+        if now >= kill - MOVED_BEFORE {
+            fail_the_rest(&relay);
+        }
+        timers.nap(STEP).await;
+    }
+    let (standing, asking) = relay.borrow().open();
+    info!("shutdown: {} sessions and {asking} requests left over", standing.len());
+}
+
+/// Requests that are still open get their answer while there is time to send it.
+fn fail_the_rest(relay: &Shared) {
+    let mut relay = relay.borrow_mut();
+    let asking: Vec<_> = relay.seats.iter().filter(|(_, s)| !s.stands).map(|(id, _)| *id).collect();
+    for id in asking {
+        relay.order(id, Order::Fail);
+    }
+}
--- /dev/null
+++ b/src/relay/wheel.rs
@@ -0,0 +1,145 @@
+//! Timers as coarse ticks on a wheel, and the naps that sessions take on it.
+
+use std::cell::RefCell;
+use std::future::Future;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, Waker};
+
+use super::clock::Clock;
+use crate::interface::{Micros, TimerToken};
+
+/// Length of a tick: well under the simulator's own step of 5 ms.
+pub const TICK: Micros = 2_000;
+/// Slots of a turn, about two seconds: most timers are shorter, the others stay for some turns.
+const SLOTS: u64 = 1024;
+
+/// Where an entry sits, to take it back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Place {
+    tick: u64,
+    serial: u64,
+}
+
+/// A hashed timer wheel.
+pub struct Wheel<T> {
+    slots: Vec<Vec<(Place, T)>>,
+    turned_to: u64,
+    serial: u64,
+}
+
+impl<T> Wheel<T> {
+    /// An empty wheel that stands at this time.
+    pub fn new(now: Micros) -> Wheel<T> {
+        Wheel { slots: (0..SLOTS).map(|_| Vec::new()).collect(), turned_to: now / TICK, serial: 0 }
+    }
+
+    /// Puts an item down for the first tick at or after its time, which is never one that has passed.
+    pub fn put(&mut self, due: Micros, item: T) -> Place {
+        self.serial += 1;
+        let place = Place { tick: due.div_ceil(TICK).max(self.turned_to + 1), serial: self.serial };
+        self.slots[(place.tick % SLOTS) as usize].push((place, item));
+        place
+    }
+
+    /// Takes an item back, if it is still there.
+    pub fn take(&mut self, place: Place) -> Option<T> {
+        let slot = &mut self.slots[(place.tick % SLOTS) as usize];
+        let at = slot.iter().position(|(p, _)| *p == place)?;
+        Some(slot.swap_remove(at).1)
+    }
+
+    /// Turns to this time and returns what has come due, in the order of time and of putting down.
+    pub fn turn(&mut self, now: Micros) -> Vec<T> {
+        let target = now / TICK;
+        let mut due = Vec::new();
+        // After a long pause one turn visits every slot.
+        for tick in (self.turned_to + 1..=target).take(SLOTS as usize) {
+            let slot = &mut self.slots[(tick % SLOTS) as usize];
+            let (ripe, later) = std::mem::take(slot).into_iter().partition(|(p, _)| p.tick <= target);
+            *slot = later;
+            due.extend::<Vec<_>>(ripe);
+        }
+        self.turned_to = self.turned_to.max(target);
+        due.sort_by_key(|(place, _)| (place.tick, place.serial));
+        due.into_iter().map(|(_, item)| item).collect()
+    }
+}
+
+/// What the wheel holds.
+pub enum Alarm {
+    /// A timer of the decisions.
+    Decision(TimerToken),
+    /// A task that naps.
+    Wake(Waker),
+}
+
+/// The relay's wheel with its clock, shared by all tasks.
+pub struct Timers {
+    /// The relay's clock.
+    pub clock: Clock,
+    wheel: RefCell<Wheel<Alarm>>,
+}
+
+impl Timers {
+    /// A wheel that stands at the clock's time.
+    pub fn new(clock: Clock) -> Rc<Timers> {
+        Rc::new(Timers { clock, wheel: RefCell::new(Wheel::new(clock.now())) })
+    }
+
+    /// Sets a timer of the decisions.
+    pub fn decision(&self, delay: Micros, token: TimerToken) {
+        self.wheel.borrow_mut().put(self.clock.now().saturating_add(delay), Alarm::Decision(token));
+    }
+
+    /// What has come due by now.
+    pub fn due(&self) -> Vec<Alarm> {
+        self.wheel.borrow_mut().turn(self.clock.now())
+    }
+
+    /// Waits for a point in time.
+    pub fn until(self: &Rc<Timers>, due: Micros) -> Nap {
+        Nap { timers: self.clone(), due, place: None }
+    }
+
+    /// Waits for a span of time.
+    pub fn nap(self: &Rc<Timers>, span: Micros) -> Nap {
+        self.until(self.clock.now().saturating_add(span))
+    }
+}
+
+/// A wait on the wheel; dropping it takes it off.
+pub struct Nap {
+    timers: Rc<Timers>,
+    due: Micros,
+    place: Option<Place>,
+}
+
+impl Nap {
+    fn take_off(&mut self) {
+        if let Some(place) = self.place.take() {
+            self.timers.wheel.borrow_mut().take(place);
+        }
+    }
+}
+
+impl Future for Nap {
+    type Output = ();
+
+    fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<()> {
+        self.take_off();
+        if self.timers.clock.now() >= self.due {
+            return Poll::Ready(());
+        }
+        let alarm = Alarm::Wake(context.waker().clone());
+        let place = self.timers.wheel.borrow_mut().put(self.due, alarm);
+        self.place = Some(place);
+        Poll::Pending
+    }
+}
+
+impl Drop for Nap {
+    fn drop(&mut self) {
+        self.take_off();
+    }
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -31,7 +31,7 @@
 
 /// Names of one instance's settings, by which later messages refer to their places.
 #[derive(Default)]
-struct Names {
+pub struct Names {
     classes: Vec<String>,
     tenants: Vec<String>,
     zones: Vec<String>,
@@ -391,15 +391,14 @@
     }
 
     fn request(&self, m: &Message, at: &Places) -> Parsed<Request> {
-        let class =
-            place(&self.classes, m.str(at.class)?).ok_or_else(|| m.wrong(at.class, "a known class"))?;
-        let tenant = m.opt(at.tenant).and_then(Value::as_str).and_then(|name| place(&self.tenants, name));
+        let class = self.class(m.str(at.class)?).ok_or_else(|| m.wrong(at.class, "a known class"))?;
+        let tenant = m.opt(at.tenant).and_then(Value::as_str).and_then(|name| self.tenant(name));
         Ok(Request {
             id: m.request(1)?,
-            class: ClassId(class),
+            class,
             key: m.text(at.key)?.map(ClientKey),
             group: m.text(at.group)?.map(GroupKey),
-            tenant: tenant.map(TenantId),
+            tenant,
             hint: if m.opt(at.hint).is_some() { Some(m.f64(at.hint)?) } else { None },
             time_left: m.u64(at.left)?,
             returning: m.flag(at.returning)?,
@@ -409,27 +408,49 @@
     }
 
     fn resolve(&self, member: &Member) -> ServerEntry {
-        ServerEntry {
-            kind: place(&self.kinds, &member.kind).map(KindId),
-            zone: place(&self.zones, &member.zone).map(ZoneId),
-            ..member.entry.clone()
-        }
+        ServerEntry { kind: self.kind(&member.kind), zone: self.zone(&member.zone), ..member.entry.clone() }
+    }
+
+    /// The class of that name.
+    pub fn class(&self, name: &str) -> Option<ClassId> {
+        place(&self.classes, name).map(ClassId)
+    }
+
+    /// The tenant of that name.
+    pub fn tenant(&self, name: &str) -> Option<TenantId> {
+        place(&self.tenants, name).map(TenantId)
+    }
+
+    /// The machine type of that name.
+    pub fn kind(&self, name: &str) -> Option<KindId> {
+        place(&self.kinds, name).map(KindId)
+    }
+
+    /// The zone of that name.
+    pub fn zone(&self, name: &str) -> Option<ZoneId> {
+        place(&self.zones, name).map(ZoneId)
     }
 
     fn report(&self, m: &Message, i: usize) -> Parsed<Option<LoadReport>> {
         let Some(value) = m.opt(i) else { return Ok(None) };
         let pairs = value.as_object().ok_or_else(|| m.wrong(i, "a load report"))?;
-        let get = |name: &str| pairs.get(name).and_then(Value::as_f64).filter(|v| v.is_finite());
-        Ok(Some(LoadReport {
+        Ok(Some(self.load_report(|name| pairs.get(name).and_then(Value::as_f64))))
+    }
+
+    /// A load report from its values by name. On sockets some go by the operators' own words.
+    pub fn load_report(&self, value: impl Fn(&str) -> Option<f64>) -> LoadReport {
+        let get = |name: &str| value(name).filter(|v| v.is_finite());
+        let either = |wire: &str, socket: &str| get(wire).or_else(|| get(socket));
+        LoadReport {
             load: get("x0").filter(|_| self.connections),
             backlog_s: get("x1").filter(|_| self.connections),
-            inflight: get("busy_reqs"),
-            queue: get("pending"),
-            utilization: get("cpu_share"),
-            latency_ms: get("svc_ms"),
-            served_per_s: get("served_ps"),
-            errors_per_s: get("failed_ps"),
-        }))
+            inflight: either("busy_reqs", "inflight"),
+            queue: either("pending", "queue"),
+            utilization: either("cpu_share", "util"),
+            latency_ms: either("svc_ms", "latency_ms"),
+            served_per_s: either("served_ps", "qps"),
+            errors_per_s: either("failed_ps", "eps"),
+        }
     }
 }
 
@@ -517,7 +538,8 @@
     })
 }
 
-fn settings(value: &Value) -> Parsed<(Settings, Names)> {
+/// Reads the settings object that starts an instance, on the wire and in the real relay's configuration.
+pub fn settings(value: &Value) -> Result<(Settings, Names), String> {
     if !value.is_object() {
         return Err("settings are an object".into());
     }
@@ -536,7 +558,7 @@
     let settings = Settings {
         fleet_size: s.u64("fleetSize", 1)?.min(u64::from(u32::MAX)) as u32,
         index: s.u64("me", 0)?.min(u64::from(u32::MAX)) as u32,
-        zone: place(&names.zones, s.str("zone")?).map(ZoneId),
+        zone: names.zone(s.str("zone")?),
         classes: services
             .iter()
             .enumerate()
