--- a/src/relay/session.rs
+++ b/src/relay/session.rs
@@ -468,7 +468,7 @@
         unanswered: None,
         timers: timers.clone(),
     };
-    pump.from_server(first);
+    pump.take_lines(first);
     let ending = pump.run(&mut orders).await;
     let outcome = match (&ending, pump.last) {
         (Ending::Client { .. } | Ending::Moved, _) => Outcome::Cancelled,
@@ -561,14 +561,14 @@
         let mut bytes = BytesMut::with_capacity(BUFFER);
         match self.server.try_read_buf(&mut bytes) {
             Ok(0) => self.server_end = Some((false, self.timers.clock.now())),
-            Ok(_) => self.from_server(bytes),
+            Ok(_) => self.take_lines(bytes),
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
             Err(e) => self.server_end = Some((is_reset(&e), self.timers.clock.now())),
         }
     }
 
     /// Lines of the card server: passed on as they are, its load told to the decisions.
-    fn from_server(&mut self, bytes: BytesMut) {
+    fn take_lines(&mut self, bytes: BytesMut) {
         let (mut load, mut answered, mut last) = (None, false, self.last);
         self.watch.pass(&bytes, |word| {
             answered |= !matches!(word, Word::Load(_));
