Refuse at once when no whole attempt fits after a wait

Seen: wait() cut its delay to 20 ms before the deadline (decide.rs, wait and ANSWER_MARGIN), so a request that found no room was held until nothing could be tried any more and refused only then.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -104,8 +104,6 @@
 const ASK_SPREAD: Micros = 2_000_000;
 /// First wait after a refused call; it doubles up to 8 times this.
 const ASK_AGAIN: Micros = 500_000;
-/// An answer is given this long before the deadline when no attempt is out.
-const ANSWER_MARGIN: Micros = 20_000;
 /// Least time worth another attempt.
 const LEAST_TRY: Micros = 30_000;
 /// Remembered clients, at most.
@@ -649,7 +647,11 @@
                 self.estimate(s, now) < STICKY_LOAD && !s.slow(now) && self.cold_slot_open(s, now)
             })
         });
-        if at_home.is_none() && self.wave(now) && self.wait(now, &mut flow, WAVE_WAIT, out) {
+        if at_home.is_none()
+            && !ranking.is_empty()
+            && self.wave(now)
+            && self.wait(now, &mut flow, WAVE_WAIT, out)
+        {
             self.held.insert(id);
             self.flows.insert(id, flow);
             return;
@@ -670,11 +672,12 @@
         placed > self.fleet.room && self.rng.random::<f64>() > self.fleet.room / placed
     }
 
-    /// Holds a request for about the given time, if its deadline allows that.
+    /// Holds a request for about the given time, if a whole attempt still fits after it. Guards against
+    /// holding a request that is as good as given up until its deadline: it is refused at once instead.
     fn wait(&mut self, now: Micros, flow: &mut Flow, about: Micros, out: &mut Vec<Action>) -> bool {
-        let left = flow.deadline.saturating_sub(now).saturating_sub(ANSWER_MARGIN);
-        let delay = self.rng.random_range(about / 2..=about + about / 2).min(left);
-        if delay < ANSWER_MARGIN {
+        let attempt = self.class(flow).map_or(LEAST_TRY, |c| c.aim).max(LEAST_TRY);
+        let delay = self.rng.random_range(about / 2..=about + about / 2);
+        if now + delay + attempt > flow.deadline {
             return false;
         }
         flow.rounds = 0;
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -580,3 +580,14 @@
     let (small, large) = (probes(20), probes(200));
     assert!(large <= small + small / 4, "{small} against {large}");
 }
+
+#[test]
+fn a_request_that_cannot_be_placed_is_refused_while_the_client_has_time_to_come_back() {
+    let mut bench = Bench::new(settings(), 3, &[]);
+    bench.feed(Event::Request(request(1)));
+    bench.pass(3 * SECOND);
+    let refused = bench.done.iter().find(|(_, a)| matches!(a, Action::Refuse { id, .. } if id.0 == 1));
+    let (at, _) = refused.expect("a refusal");
+    let (deadline, attempt) = (START + 2 * SECOND, SECOND / 2);
+    assert!(*at + attempt <= deadline, "held until {} us before the deadline", deadline - at);
+}
