--- a/src/decide.rs
+++ b/src/decide.rs
@@ -647,11 +647,7 @@
                 self.estimate(s, now) < STICKY_LOAD && !s.slow(now) && self.cold_slot_open(s, now)
             })
         });
-        if at_home.is_none()
-            && !ranking.is_empty()
-            && self.wave(now)
-            && self.wait(now, &mut flow, WAVE_WAIT, out)
-        {
+        if at_home.is_none() && self.wave(now) && self.wait(now, &mut flow, WAVE_WAIT, out) {
             self.held.insert(id);
             self.flows.insert(id, flow);
             return;
