--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -213,6 +213,9 @@
                 self.leaving.entry(id).or_insert(now);
             }
         }
+        // A probe of a card server that is gone has nothing left to ask.
+        let gone = news.entries.iter().filter(|e| e.state == ServerState::Gone);
+        gone.for_each(|e| drop(self.probes.remove(&e.server)));
         self.addresses.extend(news.addresses);
         Arc::new(news.entries)
     }
@@ -230,19 +233,19 @@
         self.version
     }
 
-    /// A client asks for a session. It gets orders until its seat is left.
-    pub fn ask(&mut self, head: &SessionHead) -> Result<(RequestId, UnboundedReceiver<Order>), &'static str> {
-        let request = self.request(head).ok_or("a client names no known class")?;
-        let (id, orders) = self.seat(&request);
+    /// A client asks for a session, of a class that must be known. It gets orders until its seat is left.
+    pub fn ask(&mut self, head: &SessionHead) -> Option<(RequestId, UnboundedReceiver<Order>)> {
+        let request = self.request(head)?;
+        let seat = self.seat(&request);
         self.feed(Event::Request(request));
-        Ok((id, orders))
+        Some(seat)
     }
 
     /// A session that stood at a card server before this relay started is up again.
     pub fn adopt(
         &mut self, head: &SessionHead, server: ServerId,
-    ) -> Result<(RequestId, UnboundedReceiver<Order>), &'static str> {
-        let request = self.request(head).ok_or("a client names no known class")?;
+    ) -> Option<(RequestId, UnboundedReceiver<Order>)> {
+        let request = self.request(head)?;
         let (id, orders) = self.seat(&request);
         let now = self.timers.clock.now();
         if let Some(seat) = self.seats.get_mut(&id) {
@@ -250,7 +253,7 @@
             seat.out = Some((AttemptId(0), server.clone(), now));
         }
         self.feed(Event::Adopted(request, server));
-        Ok((id, orders))
+        Some((id, orders))
     }
 
     fn seat(&mut self, request: &Request) -> (RequestId, UnboundedReceiver<Order>) {
@@ -480,10 +483,18 @@
 }
 
 async fn serve_here(config: Config) -> Result<(), String> {
-    let (name, listen, discovery) = (config.name.clone(), config.listen, config.discovery);
     let stop = shutdown::signal()?;
+    let listener = open_listener(config.listen).map_err(|e| format!("{}: {e}", config.listen))?;
+    serve_on(listener, config, stop).await
+}
+
+/// Serves the connections of a listener until `stop` resolves, and then empties the relay. It must run on a
+/// [`LocalSet`].
+pub async fn serve_on(
+    listener: TcpListener, config: Config, stop: impl Future<Output = ()>,
+) -> Result<(), String> {
+    let (name, listen, discovery) = (config.name.clone(), config.listen, config.discovery);
     let (relay, asks) = Relay::new(config)?;
-    let listener = open_listener(listen).map_err(|e| format!("{listen}: {e}"))?;
     tokio::task::spawn_local(roll::follow(relay.clone(), discovery, asks));
     tokio::task::spawn_local(turn_wheel(relay.clone()));
     tokio::task::spawn_local(accept(relay.clone(), listener));
--- a/src/relay/roll.rs
+++ b/src/relay/roll.rs
@@ -1,6 +1,8 @@
 //! The server roll: asks discovery, one call at a time, and hands on what it tells.
 
+use std::io;
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use bytes::{Buf, BytesMut};
 use serde_json::Value;
@@ -13,7 +15,6 @@
 use super::wheel::Timers;
 use crate::interface::*;
 use crate::wire::Names;
-use std::rc::Rc;
 
 /// How long a watch waits at discovery. Short enough that a discovery that went silent is noticed within the
 /// time in which the list must be asked for, long enough that watches cost it next to nothing.
@@ -116,21 +117,13 @@
 
     async fn exchange(&mut self, path: &str) -> Result<Vec<u8>, Failure> {
         let ask = format!("GET {path} HTTP/1.1\r\nHost: {}\r\nAccept: application/json\r\n\r\n", self.at);
-        if let Some(mut line) = self.line.take() {
-            // A connection that was closed while it lay idle is no failed call: it is opened anew.
-            let mut bytes = BytesMut::new();
-            let sent = line.write_all(ask.as_bytes()).await.is_ok();
-            if sent && line.read_buf(&mut bytes).await.is_ok_and(|n| n > 0) {
-                return self.read_answer(line, bytes).await;
-            }
-        }
-        let mut line = TcpStream::connect(self.at).await.map_err(|e| e.to_string())?;
+        let mut line = match self.line.take().filter(lies_open) {
+            Some(line) => line,
+            None => TcpStream::connect(self.at).await.map_err(|e| e.to_string())?,
+        };
         let _ = line.set_nodelay(true);
         line.write_all(ask.as_bytes()).await.map_err(|e| e.to_string())?;
-        self.read_answer(line, BytesMut::new()).await
-    }
-
-    async fn read_answer(&mut self, mut line: TcpStream, mut bytes: BytesMut) -> Result<Vec<u8>, Failure> {
+        let mut bytes = BytesMut::new();
         loop {
             if let Some(answer) = take_answer(&mut bytes)? {
                 if !answer.closes {
@@ -149,6 +142,12 @@
     }
 }
 
+/// Whether a kept connection is still open: one that was closed while it lay idle is no failed call. Once the
+/// call is written, a break is one, and is not tried again at once: discovery may be in trouble.
+fn lies_open(line: &TcpStream) -> bool {
+    matches!(line.try_read(&mut [0]), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+}
+
 /// A whole HTTP answer.
 #[derive(Debug, PartialEq)]
 pub struct HttpAnswer {
--- a/src/relay/session.rs
+++ b/src/relay/session.rs
@@ -156,9 +156,12 @@
     }
 }
 
-/// A time to come back in, within what clients honour.
+/// A time to come back in, within what clients honour. It differs from client to client, or all that are
+/// refused together would come back together.
 fn come_back(relay: &Shared) -> u64 {
-    relay.borrow().longest_away() / 1_000
+    let relay = relay.borrow();
+    let most = relay.longest_away();
+    (most / 2 + relay.timers.clock.now() % (most / 2 + 1)) / 1_000
 }
 
 async fn study(relay: Shared, client: Client, head: SessionHead) {
@@ -168,13 +171,7 @@
         return client.farewell(&line).await;
     };
     let asked = relay.borrow_mut().ask(&head);
-    let (id, orders) = match asked {
-        Ok(asked) => asked,
-        Err(why) => {
-            debug!("client: {why}");
-            return client.farewell(FAILED).await;
-        }
-    };
+    let Some((id, orders)) = asked else { return client.farewell(FAILED).await };
     let seat = SeatGuard { relay: relay.clone(), id, answered: false };
     Session { relay, client, head, orders, seat, _second: second }.run().await;
 }
@@ -256,7 +253,7 @@
     async fn attempt(&mut self, place: &Placement) -> Came {
         let timers = self.client.timers.clone();
         let sent = Sent::default();
-        let due = timers.clock.now() + place.timeout;
+        let due = timers.clock.now().saturating_add(place.timeout);
         let dial = dial(&self.relay, &self.head, place, due, &sent);
         tokio::pin!(dial);
         loop {
@@ -373,7 +370,7 @@
     };
     let Some((stream, first)) = up else { return client.farewell(FAILED).await };
     let adopted = relay.borrow_mut().adopt(&head, server);
-    let Ok((id, orders)) = adopted else { return client.farewell(FAILED).await };
+    let Some((id, orders)) = adopted else { return client.farewell(FAILED).await };
     let seat = SeatGuard { relay: relay.clone(), id, answered: false };
     pump(relay, client, orders, seat, stream, first).await;
 }
--- a/src/relay/shutdown.rs
+++ b/src/relay/shutdown.rs
@@ -15,8 +15,10 @@
 /// The kill comes this long after the longest deadline.
 const KILL_AFTER: Micros = 700_000;
 /// What is left before the kill when the last session is moved, and when the relay exits.
-const MOVED_BEFORE: Micros = 600_000;
-const GONE_BEFORE: Micros = 300_000;
+const MOVED_BEFORE: Micros = 670_000;
+const GONE_BEFORE: Micros = 350_000;
+/// Time for the last lines to arrive.
+const LINGER: Micros = 250_000;
 /// Step in which sessions are moved.
 const STEP: Micros = 20_000;
 
@@ -49,7 +51,7 @@
     loop {
         let now = timers.clock.now();
         let (standing, asking) = relay.borrow().open();
-        if standing.is_empty() && asking == 0 || now >= kill - GONE_BEFORE {
+        if standing.is_empty() && asking == 0 || now >= kill - GONE_BEFORE - LINGER {
             break;
         }
         let due = due_now(standing.len(), (kill - MOVED_BEFORE).saturating_sub(now));
@@ -63,6 +65,9 @@
     }
     let (standing, asking) = relay.borrow().open();
     info!("shutdown: {} sessions and {asking} requests left over", standing.len());
+    // The last lines are on their way: exiting now could reset the connections that carry them.
+    let last = timers.clock.now() + LINGER;
+    timers.until(last.min(kill - GONE_BEFORE)).await;
 }
 
 /// Requests that are still open get their answer while there is time to send it.
--- /dev/null
+++ b/tests/parsers.rs
@@ -0,0 +1,138 @@
+//! Random cuts of valid messages and random garbage against every parser of the relay, from fixed seeds.
+
+use bytes::{Bytes, BytesMut};
+use honeyknot::relay::config::Config;
+use honeyknot::relay::lines::{LONGEST, LineWatch, SessionHead, Word, first_line, report_value};
+use honeyknot::relay::roll::{read_roll, take_answer};
+use honeyknot::wire::Names;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+const OPEN: &str =
+    "OPEN 9b1f03aa5c7e2d41 7f3a c=study-session,d=2000,g=5c0f,r=1,again=1,h=3.5,at=s-1,x=y\r\n";
+const ROLL: &str = r#"{"version":41,"full":true,"servers":[
+{"id":"s-1","addr":"127.0.0.1:5000","zone":"a","kind":"m2","cell":3,"state":"active","weight":1.0,"started_ms":2},
+{"id":"s-2","addr":"127.0.0.1:5001","state":"leaving"},{"id":"s-3","state":"left"}]}"#;
+const CONFIG: &str = r#"{"name":"n3","listen":"127.0.0.1:5000","discovery":"127.0.0.1:8500","seed":"8c1f",
+"limits":{"sockets":4096},"known":ROLL,"settings":{"services":[{"name":"study-session","hardLimitUs":1200000}],
+"rules":{"startCapacity":0.3,"coldUs":1,"overloadFactor":3.0}}}"#;
+
+fn answers(body: &str) -> [String; 2] {
+    let (one, two) = body.split_at(body.len() / 2);
+    [
+        format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()),
+        format!(
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{one}\r\n{:x}\r\n{two}\r\n0\r\n\r\n",
+            one.len(),
+            two.len()
+        ),
+    ]
+}
+
+fn words(pieces: &[&[u8]]) -> (Vec<String>, bool) {
+    let (mut watch, mut seen) = (LineWatch::default(), Vec::new());
+    for piece in pieces {
+        watch.pass(piece, |word| seen.push(format!("{word:?}")));
+    }
+    (seen, watch.between_lines())
+}
+
+fn settings() -> ProptestConfig {
+    ProptestConfig {
+        cases: 300,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(20_261_201),
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(settings())]
+
+    #[test]
+    fn a_head_cut_anywhere_is_never_taken_for_a_whole_one(at in 0..OPEN.len()) {
+        prop_assert_eq!(first_line(&OPEN.as_bytes()[..at]), Ok(None));
+        prop_assert!(SessionHead::parse(Bytes::copy_from_slice(&OPEN.as_bytes()[..at])).is_err());
+    }
+
+    #[test]
+    fn another_wait_changes_nothing_else_of_a_head(wait in 0u64..100_000, more in "[a-z0-9=,]{0,20}") {
+        let line = OPEN.replace("x=y", &format!("x=y{more}"));
+        if let Ok(head) = SessionHead::parse(line.clone().into()) {
+            let digits = wait.to_string();
+            let again: Vec<u8> =
+                head.with_patience(digits.as_bytes()).iter().flat_map(|p| p.to_vec()).collect();
+            if more.is_empty() || !more.contains("d=") {
+                prop_assert_eq!(String::from_utf8(again).unwrap(), line.replace("d=2000", &format!("d={wait}")));
+            }
+        }
+    }
+
+    #[test]
+    fn garbage_never_panics(bytes in proptest::collection::vec(any::<u8>(), 0..200), tail in "[ -~]{0,80}") {
+        let _ = (first_line(&bytes), Word::read(&bytes), words(&[&bytes]));
+        let mut line = format!("OPEN {tail}").into_bytes();
+        line.extend(b"\r\n");
+        let _ = SessionHead::parse(line.into());
+        let _ = (SessionHead::parse(bytes.clone().into()), report_value(&tail, "util"));
+        let _ = take_answer(&mut BytesMut::from(&bytes[..]));
+        let mut after_head = BytesMut::from("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        after_head.extend_from_slice(&bytes);
+        let _ = take_answer(&mut after_head);
+        let _ = Config::read(&bytes, |_| None);
+    }
+
+    #[test]
+    fn lines_in_pieces_read_as_in_one(cuts in proptest::collection::vec(0usize..70, 0..6)) {
+        let text = b"UP r1\r\nLOAD 812.5\r\ncard 4 of 9\r\nLOAD x\r\nBYE inflight=7,util=0.61\r\nMO";
+        let mut cuts: Vec<usize> = cuts.into_iter().map(|c| c.min(text.len())).collect();
+        cuts.extend([0, text.len()]);
+        cuts.sort_unstable();
+        let pieces: Vec<&[u8]> = cuts.windows(2).map(|w| &text[w[0]..w[1]]).collect();
+        prop_assert_eq!(words(&pieces), words(&[text]));
+    }
+
+    #[test]
+    fn an_answer_in_pieces_is_taken_once_it_is_whole(cut in 0usize..400, form in 0usize..2) {
+        let whole = &answers(ROLL)[form];
+        let cut = cut.min(whole.len() - 1);
+        let mut bytes = BytesMut::from(&whole.as_bytes()[..cut]);
+        prop_assert_eq!(take_answer(&mut bytes), Ok(None));
+        bytes.extend_from_slice(&whole.as_bytes()[cut..]);
+        let answer = take_answer(&mut bytes).unwrap().unwrap();
+        prop_assert_eq!((answer.status, answer.body.as_slice()), (200, ROLL.as_bytes()));
+        prop_assert!(bytes.is_empty());
+    }
+
+    #[test]
+    fn a_configuration_cut_anywhere_is_refused(at in 0..CONFIG.len()) {
+        let text = CONFIG.replace("ROLL", ROLL);
+        prop_assert!(Config::read(text.as_bytes(), |_| None).is_ok());
+        prop_assert!(Config::read(&text.as_bytes()[..at], |_| None).is_err());
+    }
+
+    #[test]
+    fn a_roll_with_a_wrong_value_is_a_failed_call(field in 0usize..7) {
+        let wrong = [
+            ("41", "-1"), ("true", "7"), ("\"s-1\"", "null"), ("127.0.0.1:5000", "nowhere"),
+            ("active", "asleep"), ("1.0", "\"big\""), ("[", "{\"a\":["),
+        ][field];
+        let text = ROLL.replacen(wrong.0, wrong.1, 1);
+        let read = serde_json::from_str(&text).map(|value| read_roll(&value, &Names::default()).is_err());
+        prop_assert!(read.unwrap_or(true), "{}", text);
+    }
+}
+
+#[test]
+fn a_roll_is_read() {
+    let news = read_roll(&serde_json::from_str(ROLL).unwrap(), &Names::default()).unwrap();
+    assert_eq!((news.version, news.whole, news.entries.len(), news.addresses.len()), (41, true, 3, 2));
+    assert_eq!(news.entries[0].started, 2_000);
+}
+
+#[test]
+fn a_line_too_long_is_told_from_one_not_whole() {
+    assert_eq!(first_line(&[b'a'; LONGEST - 1]), Ok(None));
+    assert!(first_line(&[b'a'; LONGEST]).is_err());
+    assert!(first_line(b"OPEN\n").is_err());
+}
--- /dev/null
+++ b/tests/relay.rs
@@ -0,0 +1,230 @@
+//! The relay on real sockets of the loopback, with card servers of a few lines.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use honeyknot::relay::config::Config;
+use honeyknot::relay::serve_on;
+use serde_json::json;
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::oneshot;
+use tokio::task::{LocalSet, spawn_local};
+
+type Line = BufReader<TcpStream>;
+
+/// A client, or a card server's end of a session.
+async fn line(end: &mut Line) -> String {
+    let mut text = String::new();
+    end.read_line(&mut text).await.expect("a line");
+    text
+}
+
+async fn say(end: &mut Line, text: &str) {
+    end.write_all(text.as_bytes()).await.expect("a write");
+}
+
+/// Everything up to the end of the connection.
+async fn rest(mut end: Line) -> String {
+    let mut text = String::new();
+    end.read_to_string(&mut text).await.expect("an orderly end");
+    text
+}
+
+async fn listen() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let at = listener.local_addr().expect("an address");
+    (listener, at)
+}
+
+/// A card server's next session; probes are answered on the way.
+async fn session(server: &TcpListener) -> (Line, String) {
+    loop {
+        let mut end = BufReader::new(server.accept().await.expect("a connection").0);
+        let first = line(&mut end).await;
+        if first != "STATS\r\n" {
+            return (end, first);
+        }
+        spawn_local(async move {
+            say(&mut end, "PONG util=0.2,latency_ms=4,x0=0.2\r\n").await;
+            while !line(&mut end).await.is_empty() {
+                say(&mut end, "PONG util=0.2,latency_ms=4,x0=0.2\r\n").await;
+            }
+        });
+    }
+}
+
+struct Relay {
+    at: SocketAddr,
+    stop: oneshot::Sender<()>,
+    ended: tokio::task::JoinHandle<Result<(), String>>,
+}
+
+impl Relay {
+    /// A relay that knows the given card servers and whose discovery is down.
+    async fn start(servers: &[(&str, SocketAddr, &str)], sockets: u64) -> Relay {
+        let servers: Vec<_> = servers
+            .iter()
+            .map(|(id, at, state)| json!({"id": id, "addr": at.to_string(), "state": state}))
+            .collect();
+        let config = json!({
+            "name": "n0", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:1", "seed": "1f",
+            "limits": {"sockets": sockets}, "known": {"version": 1, "full": true, "servers": servers},
+            "settings": {
+                "family": "conn", "discovery": "on_request", "telemetry": {"source": "pull"},
+                "familyInfo": {"messageAimUs": [150000.0], "tellsLoad": true, "tellsDelay": true},
+                "services": [{"name": "study", "effect": "idempotent", "aimUs": 25000000,
+                    "hardLimitUs": 26000000, "stream": true}],
+                "permissions": {"probing": true, "maxAttempts": 3, "connectTimeoutUs": 250000,
+                    "retryAfter": true, "maxRetryAfterUs": 600000},
+                "rules": {"startCapacity": 0.3, "coldUs": 9000000, "overloadFactor": 3.0,
+                    "fallUs": 2000000, "stopSendingWithinUs": 500000, "mustAskInUs": 10000000}}});
+        let config = Config::read(config.to_string().as_bytes(), |_| None).expect("a sound configuration");
+        let (listener, at) = listen().await;
+        let (stop, stopped) = oneshot::channel();
+        let ended = spawn_local(serve_on(listener, config, async move {
+            let _ = stopped.await;
+        }));
+        Relay { at, stop, ended }
+    }
+
+    async fn client(&self, first: &str) -> Line {
+        let mut end = BufReader::new(TcpStream::connect(self.at).await.expect("a connection"));
+        say(&mut end, first).await;
+        end
+    }
+}
+
+/// Runs a case on the relay's kind of runtime; a case that hangs fails in the end.
+fn case(run: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let limit = Duration::from_secs(60);
+    let done = LocalSet::new().block_on(&runtime, async { tokio::time::timeout(limit, run).await });
+    done.expect("the case ends");
+}
+
+const OPEN: &str = "OPEN 9b1f 7f3a c=study,d=26000,g=5c0f,x=1\r\n";
+
+#[test]
+fn a_session_is_placed_passed_on_and_ended_as_its_card_server_ends_it() {
+    case(async {
+        let (server, at) = listen().await;
+        let relay = Relay::start(&[("s-1", at, "active")], 256).await;
+        let mut client = relay.client(OPEN).await;
+        let (mut held, first) = session(&server).await;
+        let wait = first.strip_prefix("OPEN 9b1f 7f3a c=study,d=").and_then(|t| t.split_once(','));
+        let (wait, after) = wait.expect("the head with another wait");
+        assert!(wait.parse::<u64>().is_ok_and(|ms| (1..=25_000).contains(&ms)), "{first}");
+        assert_eq!(after, "g=5c0f,x=1\r\n");
+        say(&mut held, "UP r1\r\nLOAD 81").await;
+        assert_eq!(line(&mut client).await, "UP r1\r\n");
+        say(&mut client, "answer 1\r\n").await;
+        assert_eq!(line(&mut held).await, "answer 1\r\n");
+        say(&mut held, "2.5\r\nBYE\r\n").await;
+        drop(held);
+        assert_eq!(rest(client).await, "LOAD 812.5\r\nBYE\r\n");
+    });
+}
+
+#[test]
+fn a_reset_is_passed_on_as_a_reset() {
+    case(async {
+        let (server, at) = listen().await;
+        let relay = Relay::start(&[("s-1", at, "active")], 256).await;
+        let mut client = relay.client(OPEN).await;
+        let (mut held, _) = session(&server).await;
+        say(&mut held, "UP r1\r\n").await;
+        assert_eq!(line(&mut client).await, "UP r1\r\n");
+        held.get_ref().set_zero_linger().expect("an option");
+        drop(held);
+        assert!(client.read(&mut [0; 8]).await.is_err());
+    });
+}
+
+#[test]
+fn the_first_line_gets_its_due() {
+    case(async {
+        let relay = Relay::start(&[], 256).await;
+        let mut front = relay.client("PING\r\n").await;
+        assert_eq!(line(&mut front).await, "PONG\r\n");
+        for bad in ["HELLO\r\n", "OPEN 1\r\n", "OPEN 1 2 c=other,d=5\r\n", "OPEN 1 2 c=study,d=x\r\n", "a\n"]
+        {
+            assert_eq!(rest(relay.client(bad).await).await, "ERR\r\n", "{bad}");
+        }
+        assert_eq!(rest(relay.client(&"a".repeat(5_000)).await).await, "ERR\r\n");
+        let mut half = relay.client("OPEN 1 2 c=st").await;
+        half.shutdown().await.expect("an end");
+        assert_eq!(rest(half).await, "ERR\r\n");
+    });
+}
+
+#[test]
+fn a_request_without_room_or_descriptors_is_told_when_to_come_back() {
+    case(async {
+        let (gone, nowhere) = listen().await;
+        drop(gone);
+        for (servers, sockets) in [(vec![("s-1", nowhere, "active")], 256), (vec![], 32)] {
+            let relay = Relay::start(&servers, sockets).await;
+            let answer = rest(relay.client(OPEN).await).await;
+            let ms = answer.strip_prefix("BUSY ").and_then(|ms| ms.trim_end().parse::<u64>().ok());
+            assert!(ms.is_some_and(|ms| (300..=600).contains(&ms)), "{answer}");
+        }
+    });
+}
+
+#[test]
+fn a_card_server_that_turns_away_is_left_before_another_is_tried() {
+    case(async {
+        let ((one, one_at), (two, two_at)) = (listen().await, listen().await);
+        let relay = Relay::start(&[("s-1", one_at, "active"), ("s-2", two_at, "active")], 256).await;
+        let mut client = relay.client(OPEN).await;
+        let ((mut held, _), other) = tokio::select! {
+            held = session(&one) => (held, &two),
+            held = session(&two) => (held, &one),
+        };
+        say(&mut held, "BUSY\r\n").await;
+        assert_eq!(rest(held).await, "", "the attempt is closed");
+        let (mut held, _) = session(other).await;
+        say(&mut held, "UP r2\r\n").await;
+        assert_eq!(line(&mut client).await, "UP r2\r\n");
+    });
+}
+
+#[test]
+fn a_session_from_before_goes_back_to_its_draining_card_server() {
+    case(async {
+        let ((server, at), (_other, other_at)) = (listen().await, listen().await);
+        let relay = Relay::start(&[("s-1", at, "leaving"), ("s-2", other_at, "active")], 256).await;
+        let first = "OPEN 9b1f 7f3a c=study,d=40000,at=s-1\r\n";
+        let mut client = relay.client(first).await;
+        let (mut held, got) = session(&server).await;
+        assert_eq!(got, first);
+        say(&mut held, "UP old\r\n").await;
+        assert_eq!(line(&mut client).await, "UP old\r\n");
+    });
+}
+
+#[test]
+fn a_planned_restart_moves_sessions_between_lines_and_refuses_newcomers() {
+    case(async {
+        let (server, at) = listen().await;
+        let relay = Relay::start(&[("s-1", at, "active")], 256).await;
+        let mut client = relay.client(OPEN).await;
+        let (mut held, _) = session(&server).await;
+        say(&mut held, "UP r1\r\ncard 1").await;
+        assert_eq!(line(&mut client).await, "UP r1\r\n");
+        let mut front = relay.client("PING\r\n").await;
+        assert_eq!(line(&mut front).await, "PONG\r\n");
+        relay.stop.send(()).expect("a relay that runs");
+        say(&mut front, "PING\r\n").await;
+        assert_eq!(line(&mut front).await, "BUSY\r\n");
+        let newcomer = BufReader::new(TcpStream::connect(relay.at).await.expect("a connection"));
+        let mut newcomer = newcomer;
+        say(&mut newcomer, OPEN).await;
+        assert!(rest(newcomer).await.starts_with("BUSY "));
+        say(&mut held, " of 9\r\n").await;
+        assert_eq!(rest(client).await, "card 1 of 9\r\nMOVE\r\n");
+        assert_eq!(rest(held).await, "");
+        assert_eq!(relay.ended.await.expect("no panic"), Ok(()));
+    });
+}
