Tell the decisions of slow card servers from the latency in reports

At fault: Relay::message_took in src/relay/mod.rs, which took quick lines for quick messages. What remains of the distance: a slow card server is met only when a probe is sent there.

--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -45,6 +45,9 @@
 /// Slow messages of one card server are told of this often.
 const DELAY_TOLD: Micros = 1_000_000;
 
+/// A delay not seen again for this long is no longer told of.
+const DELAY_LASTS: Micros = 4_000_000;
+
 /// The relay as its tasks share it.
 pub type Shared = Rc<RefCell<Relay>>;
 
@@ -85,6 +88,15 @@
     stands: bool,
 }
 
+/// What messages take at a slow card server.
+struct Slow {
+    ms: f64,
+    /// A report told of it, not a client's line.
+    reported: bool,
+    seen: Micros,
+    told: Micros,
+}
+
 /// A descriptor in the count; dropping it gives it back.
 pub struct Held(Rc<Cell<usize>>);
 
@@ -116,8 +128,8 @@
     seats: BTreeMap<RequestId, Seat>,
     last_id: u32,
     probes: BTreeMap<ServerId, UnboundedSender<Errand>>,
-    /// Card servers whose messages are slow, and when that was last told.
-    slow: BTreeMap<ServerId, Micros>,
+    /// Card servers whose messages are slow.
+    slow: BTreeMap<ServerId, Slow>,
     asks: UnboundedSender<Ask>,
     roll_trouble: bool,
     events: VecDeque<Event>,
@@ -320,22 +332,65 @@
         self.noted(id, Note::Load(load));
     }
 
-    /// A message took this long to be answered. Where that is told at all, it is told about once a second
-    /// while it is long, and once more when it no longer is.
+    /// A line of the client took this long to be answered.
     pub fn message_took(&mut self, id: RequestId, took: Micros) {
+        let at = self.seats.get(&id).and_then(|s| s.out.as_ref()).map(|(_, server, _)| server.clone());
+        if let Some(server) = at {
+            self.delay_seen(server, took as f64 / 1e3, false);
+        }
+    }
+
+    /// Where delays are told at all, one is told about once a second while it is long, and once more when it no
+    /// longer is.
+    ///
+    /// Card servers may answer client lines beside their work, at once however far behind they are; their
+    /// reports tell then what a message really takes. Guards against a relay that learns of no slow card server:
+    /// a quick line does not end a delay that a report told of.
+    fn delay_seen(&mut self, server: ServerId, ms: f64, reported: bool) {
         let aims = self.settings.classes.iter().map(|c| c.message_aim).filter(|aim| *aim > 0);
         let Some(aim) = aims.min().filter(|_| self.settings.tells_delay) else { return };
-        let Some((_, server, _)) = self.seats.get(&id).and_then(|s| s.out.as_ref()) else { return };
-        let (server, now) = (server.clone(), self.timers.clock.now());
-        if took > aim / 3 {
-            if self.slow.get(&server).is_some_and(|told| now < told + DELAY_TOLD) {
+        let now = self.timers.clock.now();
+        let long = ms * 1e3 > aim as f64 / 3.0;
+        match self.slow.get_mut(&server) {
+            None if !long => return,
+            Some(slow) if !long && slow.reported != reported => return,
+            Some(slow) if long && now < slow.told + DELAY_TOLD => {
+                (slow.ms, slow.seen) = (ms, now);
                 return;
             }
-            self.slow.insert(server, now);
-        } else if self.slow.remove(&server).is_none() {
-            return;
+            _ => {}
+        }
+        if long {
+            self.slow.insert(server.clone(), Slow { ms, reported, seen: now, told: now });
+        } else {
+            self.slow.remove(&server);
+        }
+        self.tell_delay(&server, ms);
+    }
+
+    /// Tells again of the delays that last, as far as they were seen of late.
+    fn tell_delays(&mut self) {
+        let now = self.timers.clock.now();
+        self.slow.retain(|_, slow| now < slow.seen + DELAY_LASTS);
+        let due = self.slow.iter_mut().filter(|(_, slow)| slow.reported && now >= slow.told + DELAY_TOLD);
+        let due: Vec<(ServerId, f64)> = due
+            .map(|(server, slow)| {
+                slow.told = now;
+                (server.clone(), slow.ms)
+            })
+            .collect();
+        for (server, ms) in due {
+            self.tell_delay(&server, ms);
+        }
+    }
+
+    /// Tells of a delay on one of the sessions that stand there.
+    fn tell_delay(&mut self, server: &ServerId, ms: f64) {
+        let there = |s: &Seat| s.stands && s.out.as_ref().is_some_and(|(_, at, _)| at == server);
+        let one = self.seats.iter().find(|(_, s)| there(s)).map(|(id, _)| *id);
+        if let Some(id) = one {
+            self.noted(id, Note::Delay(ms));
         }
-        self.noted(id, Note::Delay(took as f64 / 1e3));
     }
 
     fn noted(&mut self, id: RequestId, note: Note) {
@@ -347,7 +402,11 @@
     pub fn probed(
         &mut self, server: ServerId, outcome: Outcome, elapsed: Micros, report: Option<LoadReport>,
     ) {
-        self.feed(Event::Probed { server, outcome, elapsed, report });
+        let latency = report.as_ref().and_then(|r| r.latency_ms);
+        self.feed(Event::Probed { server: server.clone(), outcome, elapsed, report });
+        if let Some(ms) = latency {
+            self.delay_seen(server, ms, true);
+        }
     }
 
     // ---- Actions -----------------------------------------------------------------------------------------
@@ -497,6 +556,7 @@
     let (relay, asks) = Relay::new(config)?;
     tokio::task::spawn_local(roll::follow(relay.clone(), discovery, asks));
     tokio::task::spawn_local(turn_wheel(relay.clone()));
+    tokio::task::spawn_local(tell_delays(relay.clone()));
     tokio::task::spawn_local(accept(relay.clone(), listener));
     info!("relay {name}: serving on {listen}, roll version {}", relay.borrow().version);
     stop.await;
@@ -528,6 +588,14 @@
     }
 }
 
+async fn tell_delays(relay: Shared) {
+    let timers = relay.borrow().timers.clone();
+    loop {
+        timers.nap(DELAY_TOLD / 4).await;
+        relay.borrow_mut().tell_delays();
+    }
+}
+
 async fn accept(relay: Shared, listener: TcpListener) {
     let descriptors = relay.borrow().descriptors.clone();
     let most = relay.borrow().most_descriptors.saturating_sub(LAST_RESERVE);
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -228,3 +228,40 @@
         assert_eq!(relay.ended.await.expect("no panic"), Ok(()));
     });
 }
+
+/// A card server that takes every session, answers lines at once, and is behind with its messages.
+async fn slow_card_server(server: TcpListener) {
+    loop {
+        let mut end = BufReader::new(server.accept().await.expect("a connection").0);
+        spawn_local(async move {
+            let mut text = String::new();
+            while end.read_line(&mut text).await.is_ok_and(|n| n > 0) {
+                let probe = text == "STATS\r\n";
+                let answer = if probe { "PONG util=0.2,latency_ms=900,x0=0.2\r\n" } else { "UP r\r\n" };
+                say(&mut end, answer).await;
+                text.clear();
+            }
+        });
+    }
+}
+
+#[test]
+fn a_card_server_whose_reports_tell_of_slow_messages_gets_no_newcomers() {
+    case(async {
+        let (server, at) = listen().await;
+        spawn_local(slow_card_server(server));
+        let relay = Relay::start(&[("s-1", at, "active")], 100_000).await;
+        let mut standing = Vec::new();
+        loop {
+            let mut client = relay.client(OPEN).await;
+            if line(&mut client).await.starts_with("BUSY") {
+                break;
+            }
+            // A line answered at once does not hide what the reports tell.
+            say(&mut client, "answer 1\r\n").await;
+            standing.push(client);
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        assert!(!standing.is_empty());
+    });
+}
