Wheel, drain and discovery tests; pace the watch; do not blame card servers for clients that do not read

Found by reading, each with its guard in a comment: a discovery that answered every watch at once would have been called without pause (roll.rs follow, now 20 ms between calls, of 200 allowed); a client that sends but does not read made its card server look silent after 5.5 s (session.rs Pump::ended).

--- a/src/relay/roll.rs
+++ b/src/relay/roll.rs
@@ -21,6 +21,9 @@
 const WATCH_WAIT_MS: u64 = 5_000;
 /// How long an answer may take beyond a watch's wait: discovery works through its calls in turn.
 const ANSWER_WAIT: Micros = 3_000_000;
+/// Pause after an answer. Well within the time in which a watch goes on; guards against a discovery that answers
+/// at once each time.
+const PAUSE: Micros = 20_000;
 /// The largest answer that is read.
 const LARGEST: usize = 4 << 20;
 
@@ -228,7 +231,10 @@
             (path, WATCH_WAIT_MS * 1_000 + ANSWER_WAIT)
         };
         match ask_roll(&mut desk, &relay, &path, wait).await {
-            Ok(news) => relay.borrow_mut().take_roll(news),
+            Ok(news) => {
+                relay.borrow_mut().take_roll(news);
+                desk.timers.nap(PAUSE).await;
+            }
             Err(failure) => {
                 // The decisions ask again in their own time; guards against hammering a discovery in trouble.
                 watching = false;
--- a/src/relay/session.rs
+++ b/src/relay/session.rs
@@ -547,7 +547,9 @@
         {
             return Some(Ending::Moved);
         }
-        self.unanswered.is_some_and(|since| now >= since + SILENCE).then_some(Ending::Silent)
+        // While the client itself does not read, the card server is not read and not to blame.
+        let silent = self.unanswered.is_some_and(|since| now >= since + SILENCE);
+        (silent && self.to_client.is_empty()).then_some(Ending::Silent)
     }
 
     fn between_lines(&self) -> bool {
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -63,12 +63,18 @@
 impl Relay {
     /// A relay that knows the given card servers and whose discovery is down.
     async fn start(servers: &[(&str, SocketAddr, &str)], sockets: u64) -> Relay {
+        Relay::with_discovery(servers, sockets, "127.0.0.1:1".parse().expect("an address")).await
+    }
+
+    async fn with_discovery(
+        servers: &[(&str, SocketAddr, &str)], sockets: u64, discovery: SocketAddr,
+    ) -> Relay {
         let servers: Vec<_> = servers
             .iter()
             .map(|(id, at, state)| json!({"id": id, "addr": at.to_string(), "state": state}))
             .collect();
         let config = json!({
-            "name": "n0", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:1", "seed": "1f",
+            "name": "n0", "listen": "127.0.0.1:1", "discovery": discovery.to_string(), "seed": "1f",
             "limits": {"sockets": sockets}, "known": {"version": 1, "full": true, "servers": servers},
             "settings": {
                 "family": "conn", "discovery": "on_request", "telemetry": {"source": "pull"},
@@ -265,3 +271,41 @@
         assert!(!standing.is_empty());
     });
 }
+
+/// The next call to discovery, up to the end of its head.
+async fn call(discovery: &TcpListener) -> Line {
+    let mut end = BufReader::new(discovery.accept().await.expect("a call").0);
+    assert!(line(&mut end).await.starts_with("GET /registry/instances?index=1&wait="));
+    while line(&mut end).await != "\r\n" {}
+    end
+}
+
+#[test]
+fn news_of_a_drain_after_failed_calls_moves_the_sessions_there() {
+    case(async {
+        let ((server, at), (discovery, discovery_at)) = (listen().await, listen().await);
+        let relay = Relay::with_discovery(&[("s-1", at, "active")], 256, discovery_at).await;
+        let mut client = relay.client(OPEN).await;
+        let (mut held, _) = session(&server).await;
+        say(&mut held, "UP r1\r\n").await;
+        assert_eq!(line(&mut client).await, "UP r1\r\n");
+        drop(call(&discovery).await);
+        for (status, body) in [
+            ("503 Busy", String::new()),
+            ("200 OK", "[]".into()),
+            (
+                "200 OK",
+                format!(
+                    r#"{{"version":2,"full":false,"servers":[{{"id":"s-1","addr":"{at}","state":"leaving"}}]}}"#
+                ),
+            ),
+        ] {
+            let mut end = call(&discovery).await;
+            let head =
+                format!("HTTP/1.1 {status}\r\nConnection: close\r\nContent-Length: {}\r\n\r\n", body.len());
+            say(&mut end, &(head + &body)).await;
+        }
+        assert_eq!(line(&mut client).await, "MOVE\r\n");
+        assert!(rest(relay.client(OPEN).await).await.starts_with("BUSY "));
+    });
+}
--- /dev/null
+++ b/tests/wheel.rs
@@ -0,0 +1,53 @@
+//! The timer wheel against a sorted list, from a fixed seed, and the pace of a planned restart.
+
+use std::collections::BTreeMap;
+
+use honeyknot::relay::shutdown::due_now;
+use honeyknot::relay::wheel::{TICK, Wheel};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+#[test]
+fn what_is_due_comes_out_in_order_and_what_is_taken_back_does_not() {
+    let mut rng = Pcg64Mcg::seed_from_u64(7);
+    let mut now = 1_000_000_007;
+    let (mut wheel, mut waiting) = (Wheel::new(now), BTreeMap::new());
+    for serial in 0..20_000u64 {
+        match rng.random_range(0..4) {
+            0 => {
+                // Sometimes a pause of several turns.
+                now += rng.random_range(0..if serial % 97 == 0 { 20_000_000 } else { 9_000 });
+                let mut due = Vec::new();
+                while let Some((&(tick, id), _)) =
+                    waiting.first_key_value().filter(|((t, _), _)| *t <= now / TICK)
+                {
+                    waiting.remove(&(tick, id));
+                    due.push(id);
+                }
+                assert_eq!(wheel.turn(now), due);
+            }
+            1 if !waiting.is_empty() => {
+                let at = rng.random_range(0..waiting.len());
+                let (&(tick, id), &place) = waiting.iter().nth(at).expect("an entry");
+                waiting.remove(&(tick, id));
+                assert_eq!((wheel.take(place), wheel.take(place)), (Some(id), None));
+            }
+            _ => {
+                let due = now + rng.random_range(0..6_000_000);
+                let tick = due.div_ceil(TICK).max(now / TICK + 1);
+                waiting.insert((tick, serial), wheel.put(due, serial));
+            }
+        }
+    }
+}
+
+#[test]
+fn a_restart_moves_everybody_in_time_and_not_at_once() {
+    let (mut standing, mut left, mut most) = (400, 800_000, 0);
+    while left > 0 && standing > 0 {
+        let due = due_now(standing, left);
+        (standing, left, most) = (standing - due, left - 20_000, most.max(due));
+    }
+    assert_eq!((standing, most), (0, 10));
+    assert_eq!(due_now(5, 0), 5);
+}
