Measure message delays by probing where sessions stand, light card servers seldom

At fault: src/relay/mod.rs told delays but measured none by itself. Now measure_delay asks the card server that is due, where sessions of this relay stand: each 1.5 s, or 8 s where the reported load is under 0.6.

--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -48,6 +48,13 @@
 /// A delay not seen again for this long is no longer told of.
 const DELAY_LASTS: Micros = 4_000_000;
 
+/// A card server where sessions stand is asked again after this: reports there are refreshed about as often.
+const MEASURE: Micros = 1_500_000;
+/// One that reports less load than this ...
+const LIGHT: f64 = 0.6;
+/// ... is asked again after this: its messages are quick, and asking costs.
+const MEASURE_LIGHT: Micros = 8_000_000;
+
 /// The relay as its tasks share it.
 pub type Shared = Rc<RefCell<Relay>>;
 
@@ -130,6 +137,8 @@
     probes: BTreeMap<ServerId, UnboundedSender<Errand>>,
     /// Card servers whose messages are slow.
     slow: BTreeMap<ServerId, Slow>,
+    /// When card servers are next to be asked for what messages take there.
+    measure_at: BTreeMap<ServerId, Micros>,
     asks: UnboundedSender<Ask>,
     roll_trouble: bool,
     events: VecDeque<Event>,
@@ -159,6 +168,7 @@
                 last_id: 0,
                 probes: BTreeMap::new(),
                 slow: BTreeMap::new(),
+                measure_at: BTreeMap::new(),
                 asks,
                 roll_trouble: false,
                 events: VecDeque::new(),
@@ -384,6 +394,26 @@
         }
     }
 
+    /// Asks one of the card servers where sessions of this relay stand, the one that is due for longest.
+    ///
+    /// Where delays are told, a relay has to measure them itself, and only reports tell them (`delay_seen`).
+    /// Guards against sessions that stay on a slow card server until a newcomer happens to be probed for there.
+    fn measure_delay(&mut self) {
+        let settings = &self.settings;
+        let asks = settings.permissions.probes && settings.reports != ReportSource::Nowhere;
+        if !settings.tells_delay || !asks || self.closing {
+            return;
+        }
+        let now = self.timers.clock.now();
+        let due = |id: &ServerId| self.measure_at.get(id).copied().unwrap_or(0);
+        let standing = self.seats.values().filter(|s| s.stands).filter_map(|s| s.out.as_ref());
+        let oldest = standing.map(|(_, id, _)| id).filter(|id| !self.leaving.contains_key(*id));
+        if let Some(id) = oldest.min_by_key(|id| due(id)).filter(|id| now >= due(id)).cloned() {
+            self.measure_at.insert(id.clone(), now + MEASURE);
+            self.errand(id, Errand::Look);
+        }
+    }
+
     /// Tells of a delay on one of the sessions that stand there.
     fn tell_delay(&mut self, server: &ServerId, ms: f64) {
         let there = |s: &Seat| s.stands && s.out.as_ref().is_some_and(|(_, at, _)| at == server);
@@ -402,6 +432,9 @@
     pub fn probed(
         &mut self, server: ServerId, outcome: Outcome, elapsed: Micros, report: Option<LoadReport>,
     ) {
+        let light = report.as_ref().and_then(|r| r.load).is_some_and(|load| load < LIGHT);
+        let next = self.timers.clock.now() + if light { MEASURE_LIGHT } else { MEASURE };
+        self.measure_at.insert(server.clone(), next);
         let latency = report.as_ref().and_then(|r| r.latency_ms);
         self.feed(Event::Probed { server: server.clone(), outcome, elapsed, report });
         if let Some(ms) = latency {
@@ -593,6 +626,7 @@
     loop {
         timers.nap(DELAY_TOLD / 4).await;
         relay.borrow_mut().tell_delays();
+        relay.borrow_mut().measure_delay();
     }
 }
 
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -82,7 +82,7 @@
                 "services": [{"name": "study", "effect": "idempotent", "aimUs": 25000000,
                     "hardLimitUs": 26000000, "stream": true}],
                 "permissions": {"probing": true, "maxAttempts": 3, "connectTimeoutUs": 250000,
-                    "retryAfter": true, "maxRetryAfterUs": 600000},
+                    "retryAfter": true, "maxRetryAfterUs": 600000, "idleCloseUs": 30000000},
                 "rules": {"startCapacity": 0.3, "coldUs": 9000000, "overloadFactor": 3.0,
                     "fallUs": 2000000, "stopSendingWithinUs": 500000, "mustAskInUs": 10000000}}});
         let config = Config::read(config.to_string().as_bytes(), |_| None).expect("a sound configuration");
@@ -309,3 +309,24 @@
         assert!(rest(relay.client(OPEN).await).await.starts_with("BUSY "));
     });
 }
+
+#[test]
+fn a_busy_card_server_where_sessions_stand_is_asked_again_without_newcomers() {
+    case(async {
+        let (server, at) = listen().await;
+        let relay = Relay::start(&[("s-1", at, "active")], 256).await;
+        let (mut client, mut probe) = (relay.client(OPEN).await, server.accept().await.expect("a probe").0);
+        let mut stats = [0; 7];
+        for asked in 0..4 {
+            probe.read_exact(&mut stats).await.expect("a probe");
+            assert_eq!(&stats, b"STATS\r\n");
+            probe.write_all(b"PONG x0=0.65\r\n").await.expect("a write");
+            if asked == 0 {
+                let (mut held, _) = session(&server).await;
+                say(&mut held, "UP r1\r\n").await;
+                assert_eq!(line(&mut client).await, "UP r1\r\n");
+                spawn_local(async move { rest(held).await });
+            }
+        }
+    });
+}
