SIGHUP reads the configuration again and asks the new discovery at once

No handler was set (src/relay/shutdown.rs listens for TERM and INT only), and Config::from_environment puts EDGE_DISCOVERY before the file, so reading again alone would have changed nothing.

Now: src/relay/reload.rs reads the file again at each SIGHUP; EDGE_DISCOVERY counts at the start alone. The roll's task selects on its wishes during a call, so the call at the old address is dropped at once; it asks the new one for the whole roll (again after 0.2 to 1.6 s until it answers) and then watches. A bad file changes nothing, with one line.

Ruled out: longer waits of the decisions (up to 6 s) as the way to retry, since news counts as told after 4 s.

--- a/src/relay/config.rs
+++ b/src/relay/config.rs
@@ -13,6 +13,11 @@
 /// Descriptors to live within where no limit is told.
 const SOCKETS: u64 = 1024;
 
+/// A variable of the environment; an empty one counts as not set.
+fn variable(name: &str) -> Option<String> {
+    std::env::var(name).ok().filter(|v| !v.is_empty())
+}
+
 /// A relay's configuration.
 pub struct Config {
     /// The relay's name.
@@ -36,7 +41,16 @@
 impl Config {
     /// Reads `EDGE_CONFIG`'s file; the other variables, where set, go before what it says.
     pub fn from_environment() -> Result<Config, String> {
-        let var = |name: &str| std::env::var(name).ok().filter(|v| !v.is_empty());
+        Config::from_file(variable)
+    }
+
+    /// Reads the file again. Where discovery is, the file alone says now: the variable still holds what was told
+    /// at the start. Guards against a reload that changes nothing.
+    pub fn again() -> Result<Config, String> {
+        Config::from_file(|name| variable(name).filter(|_| name != "EDGE_DISCOVERY"))
+    }
+
+    fn from_file(var: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
         let path = var("EDGE_CONFIG").ok_or("EDGE_CONFIG is not set")?;
         let text = std::fs::read(Path::new(&path)).map_err(|e| format!("{path}: {e}"))?;
         Config::read(&text, var).map_err(|e| format!("{path}: {e}"))
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -7,6 +7,7 @@
 pub mod config;
 pub mod lines;
 pub mod probe;
+pub mod reload;
 pub mod roll;
 pub mod session;
 pub mod shutdown;
@@ -250,6 +251,13 @@
         self.feed(Event::Servers { version: self.version, update: ListUpdate::Failed });
     }
 
+    /// Applies what of a new configuration can change while sessions stand: where discovery is, and how many
+    /// descriptors there may be. The roll held stays in use until the new discovery tells its own.
+    pub fn reconfigure(&mut self, config: &Config) {
+        self.most_descriptors = config.sockets;
+        self.ask_discovery(Ask::Renew(config.discovery));
+    }
+
     /// The version of the roll that is held.
     pub fn roll_version(&self) -> u64 {
         self.version
@@ -576,14 +584,15 @@
 
 async fn serve_here(config: Config) -> Result<(), String> {
     let stop = shutdown::signal()?;
+    let reloads = reload::signal(Config::again)?;
     let listener = open_listener(config.listen).map_err(|e| format!("{}: {e}", config.listen))?;
-    serve_on(listener, config, stop).await
+    serve_on(listener, config, stop, reloads).await
 }
 
 /// Serves the connections of a listener until `stop` resolves, and then empties the relay. It must run on a
-/// [`LocalSet`].
+/// [`LocalSet`]. Configurations that come by `reloads` are applied as far as they can be while it runs.
 pub async fn serve_on(
-    listener: TcpListener, config: Config, stop: impl Future<Output = ()>,
+    listener: TcpListener, config: Config, stop: impl Future<Output = ()>, reloads: reload::Reloads,
 ) -> Result<(), String> {
     let (name, listen, discovery) = (config.name.clone(), config.listen, config.discovery);
     let (relay, asks) = Relay::new(config)?;
@@ -591,6 +600,7 @@
     tokio::task::spawn_local(turn_wheel(relay.clone()));
     tokio::task::spawn_local(tell_delays(relay.clone()));
     tokio::task::spawn_local(accept(relay.clone(), listener));
+    tokio::task::spawn_local(reload::follow(relay.clone(), reloads));
     info!("relay {name}: serving on {listen}, roll version {}", relay.borrow().version);
     stop.await;
     shutdown::drain(relay).await;
--- /dev/null
+++ b/src/relay/reload.rs
@@ -0,0 +1,37 @@
+//! Reloads: SIGHUP has the configuration read again.
+
+use log::{info, warn};
+use tokio::signal::unix::{SignalKind, signal as listen_for};
+use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
+
+use super::Shared;
+use super::config::Config;
+
+/// Configurations as they were read again, or why one could not be.
+pub type Reloads = UnboundedReceiver<Result<Config, String>>;
+
+/// Has `read` called at each SIGHUP from now on. Signals that come together count as one.
+///
+/// Guards against the signal's default action, which ends the program and every study session with it.
+pub fn signal(read: impl Fn() -> Result<Config, String> + 'static) -> Result<Reloads, String> {
+    let told = listen_for(SignalKind::hangup());
+    let mut told = told.map_err(|e| format!("cannot listen for signals: {e}"))?;
+    let (reads, reloads) = unbounded_channel();
+    tokio::task::spawn_local(
+        async move { while told.recv().await.is_some() && reads.send(read()).is_ok() {} },
+    );
+    Ok(reloads)
+}
+
+/// Applies what is read until the relay ends. A file that cannot be used, or is only half written, changes nothing.
+pub async fn follow(relay: Shared, mut reloads: Reloads) {
+    while let Some(read) = reloads.recv().await {
+        match read {
+            Ok(config) => {
+                info!("reload: discovery at {}, {} descriptors", config.discovery, config.sockets);
+                relay.borrow_mut().reconfigure(&config);
+            }
+            Err(why) => warn!("reload: the configuration held stays in use: {why}"),
+        }
+    }
+}
--- a/src/relay/roll.rs
+++ b/src/relay/roll.rs
@@ -21,6 +21,12 @@
 const WATCH_WAIT_MS: u64 = 5_000;
 /// How long an answer may take beyond a watch's wait: discovery works through its calls in turn.
 const ANSWER_WAIT: Micros = 3_000_000;
+/// A connection that is not up after this counts as a failed call: one lost packet is sent again after a second.
+/// Guards against a reload that spends its whole time on an address where nothing answers.
+const CONNECT_WAIT: Micros = 1_200_000;
+/// First pause before the whole roll is asked for again after a reload; it doubles up to 8 times this. The news
+/// counts as told 4 s after the signal, so the decisions' own longer pauses are not waited for.
+const RENEW_AGAIN: Micros = 200_000;
 /// Pause after an answer. Well within the time in which a watch goes on; guards against a discovery that answers
 /// at once each time.
 const PAUSE: Micros = 20_000;
@@ -88,6 +94,8 @@
     Watch(bool),
     /// The whole roll, once.
     Fetch,
+    /// Discovery is at this address from now on.
+    Renew(SocketAddr),
 }
 
 /// Why a call brought nothing.
@@ -101,6 +109,17 @@
 }
 
 impl Desk {
+    fn new(at: SocketAddr, timers: &Rc<Timers>) -> Desk {
+        Desk { at, line: None, timers: timers.clone() }
+    }
+
+    /// Leaves the old address for a new one, if there is one.
+    fn go_to(&mut self, at: Option<SocketAddr>) {
+        if let Some(at) = at {
+            (self.at, self.line) = (at, None);
+        }
+    }
+
     /// One call, by the connection that stands or else a new one.
     async fn call(&mut self, path: &str, wait: Micros) -> Result<Vec<u8>, Failure> {
         let timers = self.timers.clone();
@@ -118,11 +137,18 @@
         }
     }
 
+    async fn connect(&self) -> Result<TcpStream, Failure> {
+        tokio::select! {
+            line = TcpStream::connect(self.at) => line.map_err(|e| e.to_string()),
+            () = self.timers.nap(CONNECT_WAIT) => Err("no connection in time".into()),
+        }
+    }
+
     async fn exchange(&mut self, path: &str) -> Result<Vec<u8>, Failure> {
         let ask = format!("GET {path} HTTP/1.1\r\nHost: {}\r\nAccept: application/json\r\n\r\n", self.at);
         let mut line = match self.line.take().filter(lies_open) {
             Some(line) => line,
-            None => TcpStream::connect(self.at).await.map_err(|e| e.to_string())?,
+            None => self.connect().await?,
         };
         let _ = line.set_nodelay(true);
         line.write_all(ask.as_bytes()).await.map_err(|e| e.to_string())?;
@@ -207,50 +233,115 @@
     }
 }
 
+/// What is wanted of discovery now.
+#[derive(Default)]
+struct Wants {
+    watch: bool,
+    whole: bool,
+    /// The whole roll of a new discovery, and how often asking for it failed.
+    renewal: Option<u32>,
+}
+
+impl Wants {
+    fn nothing(&self) -> bool {
+        !self.watch && !self.whole && self.renewal.is_none()
+    }
+
+    /// Takes a wish; a new address comes back.
+    fn note(&mut self, ask: Ask) -> Option<SocketAddr> {
+        match ask {
+            Ask::Watch(on) => self.watch = on,
+            Ask::Fetch => self.whole = true,
+            Ask::Renew(at) => {
+                (self.watch, self.renewal) = (true, Some(0));
+                return Some(at);
+            }
+        }
+        None
+    }
+
+    /// Takes wishes until discovery has a new address; none once nobody can wish any more.
+    async fn renewed(&mut self, asks: &mut UnboundedReceiver<Ask>) -> Option<SocketAddr> {
+        loop {
+            if let Some(at) = self.note(asks.recv().await?) {
+                return Some(at);
+            }
+        }
+    }
+
+    /// The next call's path and the longest wait for its answer.
+    fn next_call(&mut self, version: u64) -> (String, Micros) {
+        if std::mem::take(&mut self.whole) || self.renewal.is_some() {
+            return ("/registry/instances".to_owned(), ANSWER_WAIT);
+        }
+        let path = format!("/registry/instances?index={version}&wait={WATCH_WAIT_MS}");
+        (path, WATCH_WAIT_MS * 1_000 + ANSWER_WAIT)
+    }
+
+    /// The call failed; how long to stay away from discovery before the next.
+    fn failed(&mut self) -> Micros {
+        match &mut self.renewal {
+            Some(failures) => {
+                *failures += 1;
+                RENEW_AGAIN << (*failures - 1).min(3)
+            }
+            None => {
+                // The decisions ask again in their own time; guards against hammering a discovery in trouble.
+                self.watch = false;
+                0
+            }
+        }
+    }
+}
+
 /// Serves the decisions' wishes until the relay ends. Calls never overlap.
+///
+/// A reload drops the call that is out and asks the new discovery for the whole roll. Guards against waiting at
+/// an address that answers no more while card servers drain unheard of; the roll held stays in use meanwhile.
 pub async fn follow(relay: Shared, discovery: SocketAddr, mut asks: UnboundedReceiver<Ask>) {
     let timers = relay.borrow().timers.clone();
-    let mut desk = Desk { at: discovery, line: None, timers };
-    let (mut watching, mut fetch) = (false, false);
+    let (mut desk, mut wants) = (Desk::new(discovery, &timers), Wants::default());
     loop {
-        while let Ok(ask) = asks.try_recv() {
-            note(ask, &mut watching, &mut fetch);
-        }
-        if !watching && !fetch {
+        if wants.nothing() {
             match asks.recv().await {
-                Some(ask) => note(ask, &mut watching, &mut fetch),
+                Some(ask) => desk.go_to(wants.note(ask)),
                 None => return,
             }
             continue;
         }
-        let (path, wait) = if std::mem::take(&mut fetch) {
-            ("/registry/instances".to_owned(), ANSWER_WAIT)
-        } else {
-            let version = relay.borrow().roll_version();
-            let path = format!("/registry/instances?index={version}&wait={WATCH_WAIT_MS}");
-            (path, WATCH_WAIT_MS * 1_000 + ANSWER_WAIT)
+        let (path, wait) = wants.next_call(relay.borrow().roll_version());
+        let answer = tokio::select! {
+            biased;
+            at = wants.renewed(&mut asks) => Err(at),
+            answer = ask_roll(&mut desk, &relay, &path, wait) => Ok(answer),
         };
-        match ask_roll(&mut desk, &relay, &path, wait).await {
-            Ok(news) => {
+        let pause = match answer {
+            Ok(Ok(news)) => {
+                wants.renewal = None;
                 relay.borrow_mut().take_roll(news);
-                desk.timers.nap(PAUSE).await;
+                PAUSE
             }
-            Err(failure) => {
-                // The decisions ask again in their own time; guards against hammering a discovery in trouble.
-                watching = false;
+            Ok(Err(failure)) => {
                 relay.borrow_mut().roll_failed(&failure);
+                wants.failed()
             }
+            Err(None) => return,
+            Err(at) => {
+                desk.go_to(at);
+                continue;
+            }
+        };
+        tokio::select! {
+            biased;
+            at = wants.renewed(&mut asks) => match at {
+                None => return,
+                at => desk.go_to(at),
+            },
+            () = timers.nap(pause) => {}
         }
     }
 }
 
-fn note(ask: Ask, watching: &mut bool, fetch: &mut bool) {
-    match ask {
-        Ask::Watch(on) => *watching = on,
-        Ask::Fetch => *fetch = true,
-    }
-}
-
 async fn ask_roll(desk: &mut Desk, relay: &Shared, path: &str, wait: Micros) -> Result<RollNews, Failure> {
     let body = desk.call(path, wait).await?;
     let value: Value = serde_json::from_slice(&body).map_err(|e| format!("not JSON: {e}"))?;
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -8,6 +8,7 @@
 use serde_json::json;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 use tokio::sync::oneshot;
 use tokio::task::{LocalSet, spawn_local};
 
@@ -54,44 +55,55 @@
     }
 }
 
+type Servers<'a> = &'a [(&'a str, SocketAddr, &'a str)];
+
+fn config_text(servers: Servers, sockets: u64, discovery: SocketAddr) -> String {
+    let servers: Vec<_> = servers
+        .iter()
+        .map(|(id, at, state)| json!({"id": id, "addr": at.to_string(), "state": state}))
+        .collect();
+    json!({
+        "name": "n0", "listen": "127.0.0.1:1", "discovery": discovery.to_string(), "seed": "1f",
+        "limits": {"sockets": sockets}, "known": {"version": 1, "full": true, "servers": servers},
+        "settings": {
+            "family": "conn", "discovery": "on_request", "telemetry": {"source": "pull"},
+            "familyInfo": {"messageAimUs": [150000.0], "tellsLoad": true, "tellsDelay": true},
+            "services": [{"name": "study", "effect": "idempotent", "aimUs": 25000000,
+                "hardLimitUs": 26000000, "stream": true}],
+            "permissions": {"probing": true, "maxAttempts": 3, "connectTimeoutUs": 250000,
+                "retryAfter": true, "maxRetryAfterUs": 600000, "idleCloseUs": 30000000},
+            "rules": {"startCapacity": 0.3, "coldUs": 9000000, "overloadFactor": 3.0,
+                "fallUs": 2000000, "stopSendingWithinUs": 500000, "mustAskInUs": 10000000}}})
+    .to_string()
+}
+
+fn config(servers: Servers, sockets: u64, discovery: SocketAddr) -> Result<Config, String> {
+    Config::read(config_text(servers, sockets, discovery).as_bytes(), |_| None)
+}
+
 struct Relay {
     at: SocketAddr,
+    reloads: UnboundedSender<Result<Config, String>>,
     stop: oneshot::Sender<()>,
     ended: tokio::task::JoinHandle<Result<(), String>>,
 }
 
 impl Relay {
     /// A relay that knows the given card servers and whose discovery is down.
-    async fn start(servers: &[(&str, SocketAddr, &str)], sockets: u64) -> Relay {
+    async fn start(servers: Servers<'_>, sockets: u64) -> Relay {
         Relay::with_discovery(servers, sockets, "127.0.0.1:1".parse().expect("an address")).await
     }
 
-    async fn with_discovery(
-        servers: &[(&str, SocketAddr, &str)], sockets: u64, discovery: SocketAddr,
-    ) -> Relay {
-        let servers: Vec<_> = servers
-            .iter()
-            .map(|(id, at, state)| json!({"id": id, "addr": at.to_string(), "state": state}))
-            .collect();
-        let config = json!({
-            "name": "n0", "listen": "127.0.0.1:1", "discovery": discovery.to_string(), "seed": "1f",
-            "limits": {"sockets": sockets}, "known": {"version": 1, "full": true, "servers": servers},
-            "settings": {
-                "family": "conn", "discovery": "on_request", "telemetry": {"source": "pull"},
-                "familyInfo": {"messageAimUs": [150000.0], "tellsLoad": true, "tellsDelay": true},
-                "services": [{"name": "study", "effect": "idempotent", "aimUs": 25000000,
-                    "hardLimitUs": 26000000, "stream": true}],
-                "permissions": {"probing": true, "maxAttempts": 3, "connectTimeoutUs": 250000,
-                    "retryAfter": true, "maxRetryAfterUs": 600000, "idleCloseUs": 30000000},
-                "rules": {"startCapacity": 0.3, "coldUs": 9000000, "overloadFactor": 3.0,
-                    "fallUs": 2000000, "stopSendingWithinUs": 500000, "mustAskInUs": 10000000}}});
-        let config = Config::read(config.to_string().as_bytes(), |_| None).expect("a sound configuration");
+    async fn with_discovery(servers: Servers<'_>, sockets: u64, discovery: SocketAddr) -> Relay {
+        let config = config(servers, sockets, discovery).expect("a sound configuration");
         let (listener, at) = listen().await;
         let (stop, stopped) = oneshot::channel();
-        let ended = spawn_local(serve_on(listener, config, async move {
+        let (reloads, reloaded) = unbounded_channel();
+        let stopped = async move {
             let _ = stopped.await;
-        }));
-        Relay { at, stop, ended }
+        };
+        let ended = spawn_local(serve_on(listener, config, stopped, reloaded));
+        Relay { at, reloads, stop, ended }
     }
 
     async fn client(&self, first: &str) -> Line {
@@ -272,14 +284,28 @@
     });
 }
 
+const WATCH: &str = "GET /registry/instances?index=1&wait=";
+const WHOLE: &str = "GET /registry/instances HTTP/1.1";
+
 /// The next call to discovery, up to the end of its head.
-async fn call(discovery: &TcpListener) -> Line {
+async fn call(discovery: &TcpListener, wanted: &str) -> Line {
     let mut end = BufReader::new(discovery.accept().await.expect("a call").0);
-    assert!(line(&mut end).await.starts_with("GET /registry/instances?index=1&wait="));
+    let path = line(&mut end).await;
+    assert!(path.starts_with(wanted), "{path}");
     while line(&mut end).await != "\r\n" {}
     end
 }
 
+async fn answer(mut end: Line, status: &str, body: &str) {
+    let head = format!("HTTP/1.1 {status}\r\nConnection: close\r\nContent-Length: {}\r\n\r\n", body.len());
+    say(&mut end, &(head + body)).await;
+}
+
+fn leaving(whole: bool, at: SocketAddr) -> String {
+    let entry = json!({"id": "s-1", "addr": at.to_string(), "state": "leaving"});
+    json!({"version": 2, "full": whole, "servers": [entry]}).to_string()
+}
+
 #[test]
 fn news_of_a_drain_after_failed_calls_moves_the_sessions_there() {
     case(async {
@@ -289,21 +315,9 @@
         let (mut held, _) = session(&server).await;
         say(&mut held, "UP r1\r\n").await;
         assert_eq!(line(&mut client).await, "UP r1\r\n");
-        drop(call(&discovery).await);
-        for (status, body) in [
-            ("503 Busy", String::new()),
-            ("200 OK", "[]".into()),
-            (
-                "200 OK",
-                format!(
-                    r#"{{"version":2,"full":false,"servers":[{{"id":"s-1","addr":"{at}","state":"leaving"}}]}}"#
-                ),
-            ),
-        ] {
-            let mut end = call(&discovery).await;
-            let head =
-                format!("HTTP/1.1 {status}\r\nConnection: close\r\nContent-Length: {}\r\n\r\n", body.len());
-            say(&mut end, &(head + &body)).await;
+        drop(call(&discovery, WATCH).await);
+        for (status, body) in [("503 Busy", ""), ("200 OK", "[]"), ("200 OK", &leaving(false, at))] {
+            answer(call(&discovery, WATCH).await, status, body).await;
         }
         assert_eq!(line(&mut client).await, "MOVE\r\n");
         assert!(rest(relay.client(OPEN).await).await.starts_with("BUSY "));
@@ -330,3 +344,70 @@
         }
     });
 }
+
+#[test]
+fn a_reload_asks_the_new_discovery_and_no_session_notices() {
+    case(async {
+        let ((server, at), (old, old_at), (new, new_at)) = (listen().await, listen().await, listen().await);
+        let relay = Relay::with_discovery(&[("s-1", at, "active")], 256, old_at).await;
+        let mut client = relay.client(OPEN).await;
+        let (mut held, _) = session(&server).await;
+        say(&mut held, "UP r1\r\n").await;
+        assert_eq!(line(&mut client).await, "UP r1\r\n");
+        let watch = call(&old, WATCH).await;
+        // Half written: the configuration held stays in use, and so does the watch.
+        relay.reloads.send(Config::read(b"{\"name\":", |_| None)).expect("a relay that runs");
+        for _ in 0..2 {
+            relay.reloads.send(config(&[], 256, new_at)).expect("a relay that runs");
+        }
+        assert_eq!(rest(watch).await, "", "the call at the old address is dropped");
+        // The roll held stays, the call that fails is made again, and the new discovery's word counts.
+        say(&mut client, "answer 1\r\n").await;
+        assert_eq!(line(&mut held).await, "answer 1\r\n");
+        answer(call(&new, WHOLE).await, "503 Busy", "").await;
+        answer(call(&new, WHOLE).await, "200 OK", &leaving(true, at)).await;
+        assert_eq!(line(&mut client).await, "MOVE\r\n");
+        call(&new, "GET /registry/instances?index=2&wait=").await;
+        relay.stop.send(()).expect("a relay that runs");
+        relay.reloads.send(config(&[], 256, old_at)).expect("a relay on its way out");
+        assert_eq!(relay.ended.await.expect("no panic"), Ok(()));
+    });
+}
+
+/// A started relay, which ends with its test, however that goes.
+struct Program(std::process::Child);
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = (self.0.kill(), self.0.wait());
+    }
+}
+
+#[test]
+fn sighup_makes_the_program_follow_the_file_rather_than_its_environment() {
+    case(async {
+        let ((old, old_at), (new, new_at)) = (listen().await, listen().await);
+        let file = std::env::temp_dir().join(format!("honeyknot-{}.json", std::process::id()));
+        std::fs::write(&file, config_text(&[], 256, old_at)).expect("a file");
+        let program = std::process::Command::new(env!("CARGO_BIN_EXE_honeyknot"))
+            .arg("serve")
+            .env("EDGE_CONFIG", &file)
+            .env("EDGE_LISTEN", "127.83.5.1:5077")
+            .env("EDGE_DISCOVERY", old_at.to_string())
+            .spawn();
+        let mut program = Program(program.expect("the program"));
+        let hang_up = |id: u32| {
+            let sent = std::process::Command::new("sh").args(["-c", &format!("kill -HUP {id}")]).status();
+            assert!(sent.expect("a shell").success());
+        };
+        let watch = call(&old, WATCH).await;
+        std::fs::write(&file, "{").expect("a file");
+        hang_up(program.0.id());
+        std::fs::write(&file, config_text(&[], 256, new_at)).expect("a file");
+        hang_up(program.0.id());
+        assert_eq!(rest(watch).await, "");
+        let _asked = call(&new, WHOLE).await;
+        assert!(program.0.try_wait().expect("a child").is_none(), "it runs on");
+        std::fs::remove_file(&file).expect("a file");
+    });
+}
