Bound the crowd at the door: 2 s for a first line, oldest out, repeated ids refused

Checked with a trace of every first line: 928 connections said nothing and were kept 5 s (HEAD_WAIT), or 60 s after a PING (FRONT_WAIT); accept() paused at the limit while they stayed (src/relay/mod.rs). All 197 requests that came to card servers were sound heads with the id of an open connection; each was answered ERR and tried again elsewhere. Bad waits were refused already, except `+5`, 0 and a wait told twice; usual waits are 1198 ms. Ruled out: CPU (0.03 s in the worst second of 0.2) and memory (3 of 48 MB).

Now: src/relay/crowd.rs holds connections without a session within a quarter of the descriptors, the oldest makes room; 2 s in all for the first line, PING or not; an id that is open, an unknown class, control bytes, empty figures and anything sent before the answer get one ERR; a wait is cut to the class's deadline; what is read after a last line is bounded; a session from before the run that comes late is answered in 2 s.

--- a/src/relay/lines.rs
+++ b/src/relay/lines.rs
@@ -6,6 +6,8 @@
 
 use bytes::Bytes;
 
+use crate::interface::Micros;
+
 /// The longest line, with its end.
 pub const LONGEST: usize = 4096;
 /// The answer to a request that failed.
@@ -36,6 +38,7 @@
 #[derive(Clone, Debug)]
 pub struct SessionHead {
     line: Bytes,
+    id: Range<usize>,
     key: Range<usize>,
     class: Option<Range<usize>>,
     group: Option<Range<usize>>,
@@ -54,7 +57,10 @@
     /// Parses a whole first line, with its CRLF.
     pub fn parse(line: Bytes) -> Result<SessionHead, Malformed> {
         let whole = line.strip_suffix(b"\r\n").ok_or(Malformed("a line ends without CRLF"))?;
-        let text = std::str::from_utf8(whole).map_err(|_| Malformed("a line is not text"))?;
+        // Guards against passing on what a card server cannot read: it would close, and look ill for it.
+        let plain = whole.iter().all(|b| b.is_ascii_graphic() || *b == b' ');
+        let text =
+            std::str::from_utf8(whole).ok().filter(|_| plain).ok_or(Malformed("a line is not plain text"))?;
         let mut words = text.split(' ');
         let (open, id, key) = (words.next(), words.next(), words.next());
         let (Some("OPEN"), Some(id), Some(key)) = (open, id, key) else {
@@ -67,6 +73,7 @@
         let key_at = 5 + id.len() + 1;
         let mut head = SessionHead {
             line: line.clone(),
+            id: 5..5 + id.len(),
             key: key_at..key_at + key.len(),
             class: None,
             group: None,
@@ -88,14 +95,21 @@
 
     fn figure(&mut self, name: &str, value: &str, at: usize) -> Result<(), Malformed> {
         let place = at..at + value.len();
+        if value.is_empty() {
+            return Err(Malformed("a figure has no value"));
+        }
         match name {
             "c" => self.class = Some(place),
             "g" => self.group = Some(place),
             "t" => self.tenant = Some(place),
             "at" => self.holder = Some(place),
             "d" => {
-                let wait = value.parse().map_err(|_| Malformed("a client's wait is no number"))?;
-                self.patience = Some((wait, place));
+                let digits = value.bytes().all(|b| b.is_ascii_digit());
+                let wait = value.parse().ok().filter(|ms| digits && *ms > 0);
+                let wait = wait.ok_or(Malformed("a client's wait is no number of 1 or more"))?;
+                if self.patience.replace((wait, place)).is_some() {
+                    return Err(Malformed("a client's wait is told twice"));
+                }
             }
             "h" => {
                 let hint = value.parse::<f64>().ok().filter(|h| h.is_finite() && *h >= 0.0);
@@ -112,6 +126,11 @@
         std::str::from_utf8(&self.line[place.clone()]).unwrap_or_default()
     }
 
+    /// The id of the client's connection.
+    pub fn id(&self) -> &str {
+        self.text(&self.id)
+    }
+
     /// The flow's key.
     pub fn key(&self) -> &str {
         self.text(&self.key)
@@ -137,9 +156,10 @@
         self.holder.as_ref().map(|p| self.text(p))
     }
 
-    /// How many milliseconds the client waits.
-    pub fn patience_ms(&self) -> Option<u64> {
-        self.patience.as_ref().map(|(ms, _)| *ms)
+    /// How long the client waits, which is never longer than its class's deadline. Guards against a client that
+    /// says it has time for ever: its request would be held as long.
+    pub fn patience(&self, deadline: Micros) -> Micros {
+        self.patience.as_ref().map_or(deadline, |(ms, _)| ms.saturating_mul(1_000).min(deadline))
     }
 
     /// The line again with another wait, in pieces for a gathered write.
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod clock;
 pub mod config;
+pub mod crowd;
 pub mod lines;
 pub mod probe;
 pub mod reload;
@@ -14,7 +15,7 @@
 pub mod wheel;
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 use std::sync::Arc;
@@ -30,6 +31,7 @@
 use crate::wire::Names;
 use clock::Clock;
 use config::Config;
+use crowd::Crowd;
 use lines::SessionHead;
 use probe::Errand;
 use roll::{Ask, RollNews};
@@ -39,10 +41,18 @@
 const RESERVE: usize = 32;
 /// Of these, what is left when accepting pauses.
 const LAST_RESERVE: usize = 12;
+/// The crowd at the door holds one descriptor in so many: sessions take two for each client, and need the rest.
+const CROWD_PART: usize = 4;
 /// Pause after a failed accept: out of descriptors or memory, which passes as sessions end.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Pause until somebody who was turned out has given the descriptor back.
+const ROOM_PAUSE: Duration = Duration::from_millis(1);
 /// Connections that may wait to be accepted.
 const BACKLOG: u32 = 1024;
+/// Sessions from before the run come up within this of the relay's start ...
+const ADOPT_START: Micros = 40_000_000;
+/// ... and one that names its card server later is owed an answer within 3 s, like any other.
+const ADOPT_LATER: Micros = 2_000_000;
 /// Slow messages of one card server are told of this often.
 const DELAY_TOLD: Micros = 1_000_000;
 
@@ -121,6 +131,20 @@
     }
 }
 
+type OpenIds = Rc<RefCell<BTreeSet<Rc<str>>>>;
+
+/// The id of a client's connection, open until this is dropped.
+pub struct OpenId {
+    ids: OpenIds,
+    id: Rc<str>,
+}
+
+impl Drop for OpenId {
+    fn drop(&mut self) {
+        self.ids.borrow_mut().remove(&self.id);
+    }
+}
+
 /// The one owner of the decisions and of what they need to know of the sockets.
 pub struct Relay {
     /// Clock and wheel.
@@ -145,7 +169,11 @@
     events: VecDeque<Event>,
     descriptors: Rc<Cell<usize>>,
     most_descriptors: usize,
+    crowd: Crowd,
+    /// Ids of the clients' connections that are open.
+    open_ids: OpenIds,
     closing: bool,
+    born: Micros,
     me: Weak<RefCell<Relay>>,
 }
 
@@ -153,7 +181,8 @@
     /// A relay, and what it will ask of discovery.
     pub fn new(config: Config) -> Result<(Shared, UnboundedReceiver<Ask>), String> {
         let timers = Timers::new(Clock::start());
-        let balancer = Balancer::new(config.settings.clone(), config.seed, timers.clock.now())
+        let born = timers.clock.now();
+        let balancer = Balancer::new(config.settings.clone(), config.seed, born)
             .map_err(|e| format!("settings: {e}"))?;
         let (asks, asked) = unbounded_channel();
         let relay = Rc::new_cyclic(|me| {
@@ -175,7 +204,10 @@
                 events: VecDeque::new(),
                 descriptors: Rc::default(),
                 most_descriptors: config.sockets,
+                crowd: Crowd::default(),
+                open_ids: OpenIds::default(),
                 closing: false,
+                born,
                 me: me.clone(),
             })
         });
@@ -305,7 +337,7 @@
             group: head.group().filter(|_| self.settings.groups).map(|g| GroupKey(g.into())),
             tenant: head.tenant().and_then(|t| self.names.tenant(t)),
             hint: head.hint,
-            time_left: head.patience_ms().map_or(deadline, |ms| ms.saturating_mul(1_000)),
+            time_left: head.patience(deadline),
             returning: head.returning,
             retry: head.retry,
             mid_flow: false,
@@ -550,10 +582,35 @@
         self.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0)
     }
 
-    /// A further descriptor, unless they would run out.
+    /// A further descriptor, unless they would run out. The crowd at the door makes room for those who ask.
     pub fn hold_descriptor(&self) -> Option<Held> {
-        let most = self.most_descriptors.saturating_sub(RESERVE);
-        (self.descriptors.get() < most).then(|| Held::new(&self.descriptors))
+        let held = self.descriptors.get();
+        let short = held >= self.most_descriptors.saturating_sub(RESERVE);
+        let spare = held < self.most_descriptors.saturating_sub(LAST_RESERVE);
+        (!short || spare && self.crowd.turn_out_oldest()).then(|| Held::new(&self.descriptors))
+    }
+
+    /// Marks a client's id as open; none if it is open already, or if the class does not exist.
+    ///
+    /// Each connection has an id of its own. Guards against a client that takes the id of another's open request:
+    /// card servers turn it away, which must not be taken for their fault.
+    pub fn open_id(&self, head: &SessionHead) -> Option<OpenId> {
+        self.names.class(head.class()?)?;
+        let id: Rc<str> = head.id().into();
+        let fresh = self.open_ids.borrow_mut().insert(id.clone());
+        fresh.then(|| OpenId { ids: self.open_ids.clone(), id })
+    }
+
+    /// Makes room for one more at the door; false while there is none.
+    fn room_at_the_door(&self) -> bool {
+        if self.crowd.len() >= self.most_descriptors / CROWD_PART {
+            self.crowd.turn_out_oldest();
+        }
+        let full = self.descriptors.get() >= self.most_descriptors.saturating_sub(LAST_RESERVE);
+        if full {
+            self.crowd.turn_out_oldest();
+        }
+        !full
     }
 
     /// Whether a newcomer may be let in.
@@ -561,6 +618,12 @@
         !self.closing && (self.seats.len() as u64) < self.settings.permissions.max_open
     }
 
+    /// Until when a session from before the run may look for its card server: long at the start, when the roll may
+    /// lack it, and short later. Guards against clients that name a card server nobody knows and hold on for long.
+    pub fn adopts_until(&self) -> Micros {
+        (self.born + ADOPT_START).max(self.timers.clock.now() + ADOPT_LATER)
+    }
+
     /// Whether the relay is on its way out.
     pub fn closing(&self) -> bool {
         self.closing
@@ -641,19 +704,21 @@
 }
 
 async fn accept(relay: Shared, listener: TcpListener) {
-    let descriptors = relay.borrow().descriptors.clone();
-    let most = relay.borrow().most_descriptors.saturating_sub(LAST_RESERVE);
+    let (descriptors, crowd) = (relay.borrow().descriptors.clone(), relay.borrow().crowd.clone());
     let mut trouble = false;
     loop {
-        if descriptors.get() >= most {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
+        if !relay.borrow().room_at_the_door() {
+            tokio::time::sleep(ROOM_PAUSE).await;
             continue;
         }
         match listener.accept().await {
             Ok((client, _)) => {
                 trouble = false;
                 let held = Held::new(&descriptors);
-                tokio::task::spawn_local(session::serve(relay.clone(), client, held));
+                crowd.admit(|place| session::serve(relay.clone(), client, held, place));
+                // Guards against letting in a whole crowd before the first of them could say what it wants: it
+                // would be turned out as the oldest.
+                tokio::task::yield_now().await;
             }
             Err(e) => {
                 // Guards against ending for want of descriptors (EMFILE), and against a line for each try.
--- a/src/relay/session.rs
+++ b/src/relay/session.rs
@@ -9,17 +9,20 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::UnboundedReceiver;
 
+use super::crowd::Place;
 use super::lines::{self, FAILED, LineWatch, MOVE, Malformed, SessionHead, Word, report_value};
 use super::wheel::Timers;
 use super::{Held, Order, Placement, Shared};
 use crate::interface::*;
 
-/// A first line that is not whole after this is not waited for.
-const HEAD_WAIT: Micros = 5_000_000;
-/// A front layer may keep a connection for its own `PING`s this long.
-const FRONT_WAIT: Micros = 60_000_000;
+/// A connection that has not asked for a session after this is ended, however slowly its line drips and however
+/// often it sent `PING`: it is owed an answer or a close within 3 s, of which it may have waited a part to be accepted.
+const HEAD_WAIT: Micros = 2_000_000;
 /// Buffers of a session, each way: more than the longest line, so that one always fits.
 const BUFFER: usize = 4096;
+/// What is read of a connection that gets its last line, at the most: closing with unread bytes may reset the
+/// connection before that line is read, and a client that floods must not be read for ever.
+const LEFTOVERS: usize = 256 * 1024;
 /// A last line and the end of a connection are given this long to get through.
 const FAREWELL: Micros = 300_000;
 /// Lines of the client without any answer for this long: the card server is silent and the client is moved.
@@ -30,21 +33,25 @@
 const HURRY: Micros = 600_000;
 /// A session from before the run is tried again after this ...
 const ADOPT_AGAIN: Micros = 100_000;
-/// ... each try this long ...
+/// ... each try this long.
 const ADOPT_TRY: Micros = 5_000_000;
-/// ... and given up after this.
-const ADOPT_WAIT: Micros = 40_000_000;
 
 /// Serves a connection that a front layer or a client has opened.
-pub async fn serve(relay: Shared, client: TcpStream, held: Held) {
+pub async fn serve(relay: Shared, client: TcpStream, held: Held, place: Place) {
     let _ = client.set_nodelay(true);
     let timers = relay.borrow().timers.clone();
     let mut side = Client { stream: client, bytes: BytesMut::with_capacity(512), timers, _held: held };
     match side.first_line(&relay).await {
-        Ok(Some(head)) => match head.holder().map(|id| ServerId(id.into())) {
-            Some(server) => adopt(relay, side, head, server).await,
-            None => study(relay, side, head).await,
-        },
+        Ok(Some(head)) => {
+            let Some(_open) = relay.borrow().open_id(&head) else {
+                debug!("client: the id of an open connection, or no known class");
+                return side.farewell(FAILED).await;
+            };
+            match head.holder().map(|id| ServerId(id.into())) {
+                Some(server) => adopt(relay, side, head, server, place).await,
+                None => study(relay, side, head, place).await,
+            }
+        }
         Ok(None) => {}
         Err(Malformed(why)) => {
             debug!("client: {why}");
@@ -66,14 +73,21 @@
     /// Reads lines until the head of a session; none if there is nothing to answer.
     async fn first_line(&mut self, relay: &Shared) -> Result<Option<SessionHead>, Malformed> {
         let timers = self.timers.clone();
-        let mut wait = HEAD_WAIT;
+        let due = timers.clock.now() + HEAD_WAIT;
+        let mut pinged = false;
         loop {
             let end = tokio::select! {
                 end = self.line() => end?,
-                () = timers.nap(wait) => return Err(Malformed("a first line is not whole in time")),
+                () = timers.until(due) => match pinged && self.bytes.is_empty() {
+                    true => None,
+                    false => return Err(Malformed("a first line is not whole in time")),
+                },
             };
             let Some(end) = end else { return Ok(None) };
             let line = self.bytes.split_to(end).freeze();
+            if !self.bytes.is_empty() {
+                return Err(Malformed("more than a first line before any answer"));
+            }
             if lines::bare(&line) != b"PING" {
                 return SessionHead::parse(line).map(Some);
             }
@@ -81,7 +95,7 @@
             if self.stream.write_all(answer).await.is_err() {
                 return Ok(None);
             }
-            wait = FRONT_WAIT;
+            pinged = true;
         }
     }
 
@@ -110,6 +124,14 @@
         std::future::pending().await
     }
 
+    /// Waits until the client leaves or speaks, though it has to wait for its answer.
+    async fn strays(&mut self) -> Strayed {
+        match self.stream.read_buf(&mut self.bytes).await {
+            Ok(0) | Err(_) => Strayed::Left,
+            Ok(_) => Strayed::Spoke,
+        }
+    }
+
     /// Sends a last line and ends the connection.
     async fn farewell(mut self, line: &[u8]) {
         tokio::select! {
@@ -120,19 +142,38 @@
     }
 }
 
+/// What a client did that has to wait for its answer.
+enum Strayed {
+    /// It left.
+    Left,
+    /// It sent more than its first line.
+    Spoke,
+}
+
 /// Ends a connection so that what was written last still arrives: closing with unread bytes would reset it.
 async fn end(timers: &Rc<Timers>, mut stream: TcpStream) {
     let _ = stream.shutdown().await;
-    let rest = async {
-        let mut sink = [0; 512];
-        while stream.read(&mut sink).await.is_ok_and(|n| n > 0) {}
-    };
     tokio::select! {
-        () = rest => {}
+        () = drain(&stream) => {}
         () = timers.nap(FAREWELL) => {}
     }
 }
 
+/// Reads what still comes until the other side ends; past the bound it is left to wait. The room to read into is
+/// not kept across an await, as hundreds may be ending at once.
+async fn drain(stream: &TcpStream) {
+    let mut read = 0;
+    while read < LEFTOVERS && stream.readable().await.is_ok() {
+        match stream.try_read(&mut [0; 16 * 1024]) {
+            Ok(0) => return,
+            Ok(n) => read += n,
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+            Err(_) => return,
+        }
+    }
+    std::future::pending().await
+}
+
 /// Ends a connection as its other side ended: with a reset, or in order.
 async fn mirror(timers: &Rc<Timers>, stream: TcpStream, reset: bool) {
     if reset {
@@ -164,7 +205,9 @@
     (most / 2 + relay.timers.clock.now() % (most / 2 + 1)) / 1_000
 }
 
-async fn study(relay: Shared, client: Client, head: SessionHead) {
+async fn study(relay: Shared, client: Client, head: SessionHead, place: Place) {
+    // It leaves the crowd first: the oldest there may have to make room for it.
+    drop(place);
     let second = relay.borrow().hold_descriptor().filter(|_| relay.borrow().may_let_in());
     let Some(second) = second else {
         let line = lines::busy(come_back(&relay));
@@ -203,10 +246,7 @@
 impl Session {
     async fn run(mut self) {
         let timers = self.client.timers.clone();
-        let patience = self
-            .head
-            .patience_ms()
-            .map_or_else(|| self.relay.borrow().longest_deadline(), |ms| ms.saturating_mul(1_000));
+        let patience = self.head.patience(self.relay.borrow().longest_deadline());
         // Guards against a request that the decisions forget: it still gets its one answer in time.
         let overdue = timers.nap(patience.saturating_add(self.relay.borrow().answer_grace()));
         tokio::pin!(overdue);
@@ -214,11 +254,11 @@
             let order = tokio::select! {
                 biased;
                 order = self.orders.recv() => order.unwrap_or(Order::Fail),
-                () = self.client.gone() => return,
-                () = &mut overdue => {
-                    self.relay.borrow_mut().left(self.seat.id, false);
-                    Order::Fail
-                }
+                strayed = self.client.strays() => match strayed {
+                    Strayed::Left => return,
+                    Strayed::Spoke => self.forgone(),
+                },
+                () = &mut overdue => self.forgone(),
             };
             match order {
                 Order::Place(place) => match self.attempt(&place).await {
@@ -243,6 +283,12 @@
         }
     }
 
+    /// The relay answers by itself; the decisions have nothing to answer any more.
+    fn forgone(&self) -> Order {
+        self.relay.borrow_mut().left(self.seat.id, false);
+        Order::Fail
+    }
+
     async fn answer(mut self, line: &[u8]) {
         self.seat.answered = true;
         drop(self.seat);
@@ -272,7 +318,10 @@
                     Some(_) => {}
                     None => return Came::Answered(Order::Fail),
                 },
-                () = self.client.gone() => return Came::Left,
+                strayed = self.client.strays() => return match strayed {
+                    Strayed::Left => Came::Left,
+                    Strayed::Spoke => Came::Answered(Order::Fail),
+                },
             }
         }
     }
@@ -357,16 +406,17 @@
 }
 
 /// A session that stood at a card server before the run: it goes to that one, however late the roll names it.
-async fn adopt(relay: Shared, mut client: Client, head: SessionHead, server: ServerId) {
+async fn adopt(relay: Shared, mut client: Client, head: SessionHead, server: ServerId, place: Place) {
+    drop(place);
     let Some(_second) = relay.borrow().hold_descriptor() else {
         let line = lines::busy(come_back(&relay));
         return client.farewell(&line).await;
     };
-    let timers = client.timers.clone();
+    let (timers, due) = (client.timers.clone(), relay.borrow().adopts_until());
     let up = tokio::select! {
         up = find_again(&relay, &head, &server) => Some(up),
         () = client.gone() => return,
-        () = timers.nap(ADOPT_WAIT) => None,
+        () = timers.until(due) => None,
     };
     let Some((stream, first)) = up else { return client.farewell(FAILED).await };
     let adopted = relay.borrow_mut().adopt(&head, server);
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -1,6 +1,8 @@
 //! The relay on real sockets of the loopback, with card servers of a few lines.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use honeyknot::relay::config::Config;
@@ -123,6 +125,11 @@
 
 const OPEN: &str = "OPEN 9b1f 7f3a c=study,d=26000,g=5c0f,x=1\r\n";
 
+/// Each connection has an id of its own.
+fn open(id: &str) -> String {
+    OPEN.replace("9b1f", id)
+}
+
 #[test]
 fn a_session_is_placed_passed_on_and_ended_as_its_card_server_ends_it() {
     case(async {
@@ -165,8 +172,17 @@
         let relay = Relay::start(&[], 256).await;
         let mut front = relay.client("PING\r\n").await;
         assert_eq!(line(&mut front).await, "PONG\r\n");
-        for bad in ["HELLO\r\n", "OPEN 1\r\n", "OPEN 1 2 c=other,d=5\r\n", "OPEN 1 2 c=study,d=x\r\n", "a\n"]
-        {
+        let waits = ["0", "-5", "+5", "", "soon", "99999999999999999999999", "5,d=6"];
+        let waits = waits.map(|d| format!("OPEN 1 2 c=study,d={d}\r\n"));
+        let bad = [
+            "HELLO\r\n",
+            "OPEN 1\r\n",
+            "OPEN 1 2\r\n",
+            "OPEN 1 2 c=other,d=5\r\n",
+            "OPEN 1 \u{7} c=study\r\n",
+        ];
+        let bad = bad.into_iter().chain(["a\n", "PING\r\nPING\r\n"]).chain(waits.iter().map(String::as_str));
+        for bad in bad {
             assert_eq!(rest(relay.client(bad).await).await, "ERR\r\n", "{bad}");
         }
         assert_eq!(rest(relay.client(&"a".repeat(5_000)).await).await, "ERR\r\n");
@@ -176,6 +192,82 @@
     });
 }
 
+/// A card server that takes every session and only ever sees sound heads; it counts them.
+async fn card_server(server: TcpListener, heads: Rc<Cell<usize>>) {
+    loop {
+        let (mut end, _) = session(&server).await;
+        heads.set(heads.get() + 1);
+        spawn_local(async move {
+            say(&mut end, "UP r1\r\n").await;
+            rest(end).await
+        });
+    }
+}
+
+#[test]
+fn a_crowd_that_says_nothing_keeps_nobody_out() {
+    case(async {
+        let (server, at) = listen().await;
+        spawn_local(card_server(server, Rc::default()));
+        let relay = Relay::start(&[("s-1", at, "active")], 128).await;
+        let (mut crowd, mut served) = (Vec::new(), Vec::new());
+        for round in 0..10 {
+            for _ in 0..40 {
+                crowd.push(TcpStream::connect(relay.at).await.expect("a connection"));
+            }
+            let mut client = relay.client(&open(&round.to_string())).await;
+            assert_eq!(line(&mut client).await, "UP r1\r\n", "round {round}");
+            served.push(client);
+        }
+    });
+}
+
+#[test]
+fn who_asks_wrongly_gets_one_error_and_nothing_is_sent_on_for_it() {
+    case(async {
+        let ((server, at), heads) = (listen().await, Rc::new(Cell::new(0)));
+        spawn_local(card_server(server, heads.clone()));
+        let relay = Relay::start(&[("s-1", at, "active")], 256).await;
+        let mut client = relay.client(OPEN).await;
+        assert_eq!(line(&mut client).await, "UP r1\r\n");
+        let taken = "OPEN 9b1f 8888 c=study,d=26000\r\n";
+        assert_eq!(rest(relay.client(taken).await).await, "ERR\r\n", "the id of an open connection");
+        let flood = "OPEN 1 2 c=study,d=26000\r\n".repeat(2_000);
+        assert_eq!(rest(relay.client(&flood).await).await, "ERR\r\n", "many at once");
+        assert_eq!(heads.get(), 1);
+        say(&mut client, "answer 1\r\n").await;
+    });
+}
+
+#[test]
+fn the_wait_for_a_first_line_does_not_begin_anew() {
+    case(async {
+        let relay = Relay::start(&[], 256).await;
+        let (mut drip, mut front) = (relay.client("OPEN").await, relay.client("PING\r\n").await);
+        assert_eq!(line(&mut front).await, "PONG\r\n");
+        // Half of the 3 s that they are owed for a slow machine.
+        let owed = Duration::from_millis(4_500);
+        let (end, mut dripping) = drip.get_mut().split();
+        let dripped = tokio::time::timeout(owed, async {
+            let mut answer = String::new();
+            let mut end = BufReader::new(end);
+            tokio::select! {
+                read = end.read_line(&mut answer) => drop(read.expect("a line")),
+                () = async {
+                    while dripping.write_all(b" ").await.is_ok() {
+                        tokio::time::sleep(Duration::from_millis(100)).await;
+                    }
+                    std::future::pending().await
+                } => {}
+            }
+            answer
+        });
+        let left = tokio::time::timeout(owed, rest(front));
+        let (dripped, left) = tokio::join!(dripped, left);
+        assert_eq!((dripped.as_deref(), left.as_deref()), (Ok("ERR\r\n"), Ok("")));
+    });
+}
+
 #[test]
 fn a_request_without_room_or_descriptors_is_told_when_to_come_back() {
     case(async {
@@ -238,7 +330,7 @@
         assert_eq!(line(&mut front).await, "BUSY\r\n");
         let newcomer = BufReader::new(TcpStream::connect(relay.at).await.expect("a connection"));
         let mut newcomer = newcomer;
-        say(&mut newcomer, OPEN).await;
+        say(&mut newcomer, &open("9b20")).await;
         assert!(rest(newcomer).await.starts_with("BUSY "));
         say(&mut held, " of 9\r\n").await;
         assert_eq!(rest(client).await, "card 1 of 9\r\nMOVE\r\n");
@@ -271,7 +363,7 @@
         let relay = Relay::start(&[("s-1", at, "active")], 100_000).await;
         let mut standing = Vec::new();
         loop {
-            let mut client = relay.client(OPEN).await;
+            let mut client = relay.client(&open(&standing.len().to_string())).await;
             if line(&mut client).await.starts_with("BUSY") {
                 break;
             }
@@ -320,7 +412,7 @@
             answer(call(&discovery, WATCH).await, status, body).await;
         }
         assert_eq!(line(&mut client).await, "MOVE\r\n");
-        assert!(rest(relay.client(OPEN).await).await.starts_with("BUSY "));
+        assert!(rest(relay.client(&open("9b20")).await).await.starts_with("BUSY "));
     });
 }
 
