A stopped answer is silence: only whole lines count, and 4.2 s without one moves a client

Trace of endings: at the breach (13.149 s) one session of n0 had been unanswered for 4.8 s by the relay's count though its stream had stopped at 6.1 s; the two that were told silent ended 5.5 to 5.7 s after the client's line.

At fault, src/relay/session.rs: take_lines() cleared `unanswered` for any bytes at all, also for LOAD and for the first half of a line that stops short; the count then began with the client's next line, up to 2 s later. 2 s and 5.5 s (SILENCE) and a look each 0.25 s are more than the 7 s allowed even without that. Ruled out: slow card servers, which answer client lines at once, and late wheels (own lateness under 0.1 ms).

Now only a whole line other than LOAD clears it, and 4.2 s are enough.

--- a/src/relay/session.rs
+++ b/src/relay/session.rs
@@ -25,8 +25,9 @@
 const LEFTOVERS: usize = 256 * 1024;
 /// A last line and the end of a connection are given this long to get through.
 const FAREWELL: Micros = 300_000;
-/// Lines of the client without any answer for this long: the card server is silent and the client is moved.
-const SILENCE: Micros = 5_500_000;
+/// A client's line without a whole line back for this long: the card server is silent there and the client is moved.
+/// Clients send a line every 2 s, so the last answer may be older by as much, and 7 s is all that it may be.
+const SILENCE: Micros = 4_200_000;
 /// How often a standing session looks after itself.
 const LOOK: Micros = 250_000;
 /// A card server that has ended a session, or a move that waits for the end of a line, holds it no longer.
@@ -633,8 +634,8 @@
             };
         });
         self.last = last;
-        let asked = self.unanswered.take();
-        if let Some(since) = asked.filter(|_| answered) {
+        // Guards against taking the beginning of a line that stops short, or news of the load, for an answer.
+        if let Some(since) = self.unanswered.take_if(|_| answered) {
             let took = self.timers.clock.now().saturating_sub(since);
             self.relay.borrow_mut().message_took(self.id, took);
         }
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -339,6 +339,30 @@
     });
 }
 
+#[test]
+fn a_card_server_that_stops_short_of_an_answer_loses_the_client() {
+    case(async {
+        let (server, at) = listen().await;
+        let relay = Relay::start(&[("s-1", at, "active")], 256).await;
+        let (mut whole, mut half) = (relay.client(OPEN).await, relay.client(&open("9b20")).await);
+        let ((mut one, _), (mut two, _)) = (session(&server).await, session(&server).await);
+        for (client, held) in [(&mut whole, &mut one), (&mut half, &mut two)] {
+            say(held, "UP r1\r\n").await;
+            assert_eq!(line(client).await, "UP r1\r\n");
+            say(client, "answer 1\r\n").await;
+        }
+        // Neither its load nor half a line is an answer.
+        spawn_local(async move {
+            say(&mut two, "card 1 o").await;
+            while one.write_all(b"LOAD 7\r\n").await.is_ok() {
+                tokio::time::sleep(Duration::from_millis(300)).await;
+            }
+        });
+        assert_eq!(rest(half).await, "card 1 o");
+        assert!(rest(whole).await.ends_with("LOAD 7\r\nMOVE\r\n"));
+    });
+}
+
 /// A card server that takes every session, answers lines at once, and is behind with its messages.
 async fn slow_card_server(server: TcpListener) {
     loop {
