Bring sessions home that cross sites, or stand far from their deck, while there is room

src/decide.rs, bring_home(): each tick at most one stray, while the emptiest near server shows under 0.55 by a report under 0.8 s old.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -89,6 +89,11 @@
 const SLOW: Micros = 2_500_000;
 /// Part of the connections that a server sheds of which only slow messages tell.
 const SHED_BLIND: f64 = 0.15;
+/// A stray is brought home while a server there has less load than this: well below the load at which
+/// newcomers spill over to other zones, or it would soon cross again ...
+const HOME_LOAD: f64 = 0.55;
+/// ... and has stood for this long, so that reports show what came before it.
+const STRAY_STAYS: Micros = 2_000_000;
 /// Drain timeout where no drain has been seen to its end.
 const DRAIN_TIMEOUT: Micros = 30_000_000;
 /// Moves begin as if an unknown drain were this much shorter than the timeout: many are.
@@ -298,16 +303,17 @@
     /// A balancer with nothing but its settings; the list of servers comes as an event.
     pub fn new(settings: Settings, seed: u64, now: Micros) -> Result<Balancer, SettingsError> {
         let rules = &settings.rules;
+        let sound = |number: f64| number >= 0.0 && number.is_finite();
         if !(0.0..=1.0).contains(&rules.start_capacity) {
             return Err(SettingsError("start_capacity is not within 0 and 1"));
         }
-        if !(rules.overload_factor > 0.0 && rules.overload_factor.is_finite()) {
+        if !sound(rules.overload_factor) || rules.overload_factor == 0.0 {
             return Err(SettingsError("overload_factor is not a positive number"));
         }
-        if settings.classes.iter().any(|c| !(c.worth >= 0.0 && c.worth.is_finite())) {
+        if !settings.classes.iter().all(|c| sound(c.worth)) {
             return Err(SettingsError("a class has a worth that is not a number of 0 or more"));
         }
-        if !(settings.prices.cross_zone >= 0.0 && settings.prices.moves >= 0.0) {
+        if !sound(settings.prices.cross_zone) || !sound(settings.prices.moves) {
             return Err(SettingsError("a price is not a number of 0 or more"));
         }
         let class_work = vec![None; settings.classes.len()];
@@ -373,16 +379,10 @@
                 out.push(Action::Timer { delay, token: ASK_TOKEN });
                 return;
             }
-            ListUpdate::Cached(entries) => (entries, true),
-            ListUpdate::Full(entries) => {
-                self.asks_failed = 0;
-                (entries, true)
-            }
-            ListUpdate::Delta(entries) => {
-                self.asks_failed = 0;
-                (entries, false)
-            }
+            ListUpdate::Cached(entries) | ListUpdate::Full(entries) => (entries, true),
+            ListUpdate::Delta(entries) => (entries, false),
         };
+        self.asks_failed = 0;
         if whole {
             let named: BTreeSet<&ServerId> = entries.iter().map(|e| &e.server).collect();
             let lost: Vec<ServerId> = self.servers.keys().filter(|id| !named.contains(id)).cloned().collect();
@@ -524,6 +524,28 @@
         }
     }
 
+    /// Flags one stray, a connection that crosses zones or stands far from its group's servers, while a server of
+    /// the own zone has room by a fresh report; the oldest first, as they have shown that they last. Guards
+    /// against what was placed before the start, or by need, costing by the second to its end: a move costs once.
+    fn bring_home(&mut self, now: Micros, out: &mut Vec<Action>) {
+        let near = self.servers.values().filter(|s| self.far(s) == 1.0 && !s.slow(now));
+        let near = near.filter(|s| self.weight(s, now) > 0.0).map(|s| (self.estimate(s, now), s));
+        let Some((load, near)) = near.min_by(|a, b| a.0.total_cmp(&b.0)) else { return };
+        let near = near.entry.server.clone();
+        let stood = self.flows.iter().rev().filter(|(_, f)| f.standing && now >= f.sent_at + STRAY_STAYS);
+        let stood = stood.filter_map(|(id, f)| Some((*id, f, self.servers.get(f.out.as_ref()?)?)));
+        let strays = stood.filter(|(_, f, s)| self.far(s) > 1.0 || self.stray(&f.request, s, now));
+        let strays =
+            strays.filter(|(_, _, s)| s.moves.is_none()).map(|(id, _, s)| (self.estimate(s, now), id, s));
+        let Some((_, id, from)) = strays.max_by(|a, b| a.0.total_cmp(&b.0)) else { return };
+        let from = from.entry.server.clone();
+        if let Some(server) = self.servers.get_mut(&near).filter(|s| !s.fresh(now)) {
+            server.probe(now, out);
+        } else if let Some(server) = self.servers.get_mut(&from).filter(|_| load < HOME_LOAD) {
+            server.moves = Some(MovePlan { flagged: vec![id], end: now });
+        }
+    }
+
     // ---- Requests ----------------------------------------------------------------------------------------
 
     fn flow(&mut self, now: Micros, request: Request) -> Flow {
@@ -815,14 +837,10 @@
         flow.over = true;
         if std::mem::take(&mut flow.standing) {
             self.standing -= 1;
-            if let Some(group) = &flow.request.group
-                && let Some(count) = self.groups.get_mut(group)
-            {
+            if let Some(count) = flow.request.group.as_ref().and_then(|g| self.groups.get_mut(g)) {
                 *count -= 1;
-                if *count == 0 {
-                    self.groups.remove(group);
-                }
             }
+            self.groups.retain(|_, count| *count > 0);
         }
         match &flow.out {
             Some(at) => {
@@ -846,23 +864,16 @@
         }
         let Some(flow) = self.flows.get(&id) else { return };
         let (stood, over, mid_flow) = (flow.standing, flow.over, flow.request.mid_flow);
+        // One that turns away is up, and full. A jammed one drops connections: it is full until a report says
+        // otherwise. Guards against clients that bounce between jammed servers, each set-up adding to the jam.
+        let dropped = outcome == Outcome::Reset && !mid_flow && !over;
+        if let Some(server) = self.servers.get_mut(&at).filter(|_| dropped || outcome == Outcome::Full) {
+            server.crowded(now);
+        }
         match outcome {
             Outcome::Ok | Outcome::Error if !stood => self.alive(now, &at),
-            // A server that turns away is up, and full.
-            Outcome::Full => {
-                if let Some(server) = self.servers.get_mut(&at) {
-                    server.crowded(now);
-                }
-            }
             Outcome::Timeout | Outcome::ConnectFailed => self.strike(now, &at, out),
-            Outcome::Reset if !mid_flow && !over => {
-                // A jammed server drops connections: until a report says otherwise it is full. Guards against
-                // clients that bounce between jammed servers, each set-up adding to the jam.
-                if let Some(server) = self.servers.get_mut(&at) {
-                    server.crowded(now);
-                }
-                self.strike(now, &at, out)
-            }
+            Outcome::Reset if dropped => self.strike(now, &at, out),
             _ => {}
         }
         self.close(id);
@@ -1198,6 +1209,7 @@
     fn tick(&mut self, now: Micros, out: &mut Vec<Action>) {
         out.push(Action::Timer { delay: TICK, token: TICK_TOKEN });
         self.survey(now);
+        self.bring_home(now, out);
         self.pace_moves(now, out);
         for server in self.servers.values_mut() {
             let due = server.ready() && server.strikes > 0 && now >= server.recheck_at;
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -591,3 +591,25 @@
     let (deadline, attempt) = (START + 2 * SECOND, SECOND / 2);
     assert!(*at + attempt <= deadline, "held until {} us before the deadline", deadline - at);
 }
+
+/// A connection that stood far away before the start, with one server near and the given load there.
+fn far_from_home(load_near: f64) -> Bench {
+    let mut settings = settings();
+    (settings.zone, settings.prices.cross_zone) = (Some(ZoneId(0)), 0.2);
+    let mut bench = Bench::new(settings, 3, &[("a:1", Some(load_near)), ("b:1", Some(0.1))]);
+    let at = |name, zone| ServerEntry { zone: Some(ZoneId(zone)), ..ready(name) };
+    bench.feed(delta(vec![at("a:1", 0), at("b:1", 1)]));
+    bench.feed(Event::Adopted(request(1), sid("b:1")));
+    bench.pass(6 * SECOND);
+    bench
+}
+
+#[test]
+fn a_connection_that_crosses_zones_is_brought_home_once_there_is_room() {
+    let mut bench = far_from_home(0.2);
+    assert_eq!(bench.moved().iter().map(|(_, id)| id.0).collect::<Vec<_>>(), [1]);
+    assert_eq!(bench.connect(request(2)), sid("a:1"));
+    bench.pass(6 * SECOND);
+    assert_eq!(bench.moved().len(), 1, "at home it stays");
+    assert!(far_from_home(0.7).moved().is_empty(), "without room at home it stays where it is");
+}
