--- a/src/decide.rs
+++ b/src/decide.rs
@@ -524,9 +524,9 @@
         }
     }
 
-    /// Flags one stray, a connection that crosses zones or stands far from its group's servers, while a server of
-    /// the own zone has room by a fresh report; the oldest first, as they have shown that they last. Guards
-    /// against what was placed before the start, or by need, costing by the second to its end: a move costs once.
+    /// Flags one stray, a connection that crosses zones or stands far from its group's servers, while a server
+    /// of the own zone has room by a fresh report; the oldest first, as they have shown that they last. Guards
+    /// against what was placed before the start, or by need, costing by the second to its end: moves cost once.
     fn bring_home(&mut self, now: Micros, out: &mut Vec<Action>) {
         let near = self.servers.values().filter(|s| self.far(s) == 1.0 && !s.slow(now));
         let near = near.filter(|s| self.weight(s, now) > 0.0).map(|s| (self.estimate(s, now), s));
@@ -865,7 +865,7 @@
         let Some(flow) = self.flows.get(&id) else { return };
         let (stood, over, mid_flow) = (flow.standing, flow.over, flow.request.mid_flow);
         // One that turns away is up, and full. A jammed one drops connections: it is full until a report says
-        // otherwise. Guards against clients that bounce between jammed servers, each set-up adding to the jam.
+        // otherwise. Guards against clients that bounce between jammed servers, each adding to the jam.
         let dropped = outcome == Outcome::Reset && !mid_flow && !over;
         if let Some(server) = self.servers.get_mut(&at).filter(|_| dropped || outcome == Outcome::Full) {
             server.crowded(now);
