--- a/src/decide.rs
+++ b/src/decide.rs
@@ -524,9 +524,9 @@
         }
     }
 
-    /// Flags one stray, a connection that crosses zones or stands far from its group's servers, while a server
-    /// of the own zone has room by a fresh report; the oldest first, as they have shown that they last. Guards
-    /// against what was placed before the start, or by need, costing by the second to its end: moves cost once.
+    /// Flags one stray, a connection that crosses zones or stands far from its group's servers, while a
+    /// server of the own zone has room by a fresh report; the oldest first, as those have shown to last.
+    /// Guards against what was placed before the start, or by need, costing by the second to its end.
     fn bring_home(&mut self, now: Micros, out: &mut Vec<Action>) {
         let near = self.servers.values().filter(|s| self.far(s) == 1.0 && !s.slow(now));
         let near = near.filter(|s| self.weight(s, now) > 0.0).map(|s| (self.estimate(s, now), s));
