A jammed card server sheds more and sooner where the others have room

Trace: one card server went from a load of 0.47 to 1.85 in 9 s (messages 2.7 s) with 13 sessions of one relay on it; in that time 2 were moved, while the others stood at 0.00 to 0.15 and had room for 30 more.

At fault, src/decide.rs: judge() sheds to 0.7 and not again for 4 s (SHED_AGAIN) whatever room there is, and plan_moves() let a single stray stand in for the whole part.

Now where the others have room for all that stands there, it sheds to 0.45 and again after 2 s.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -83,6 +83,8 @@
 const SHED_LOAD: f64 = 0.9;
 /// ... down to this load ...
 const SHED_TARGET: f64 = 0.7;
+/// ... or this one, and twice as often, where the others have room for all that it holds ...
+const SHED_ROOMY: f64 = 0.45;
 /// ... and not again before reports can show the effect.
 const SHED_AGAIN: Micros = 4_000_000;
 /// Slow messages are told of about every second while they last.
@@ -172,11 +174,6 @@
         self.entry.state == ServerState::Ready
     }
 
-    /// It dropped or turned away a connection: until a report says otherwise it is full.
-    fn crowded(&mut self, now: Micros) {
-        self.load = Some((self.load.map_or(FULL, |(load, _)| load.max(FULL)), now));
-    }
-
     /// Sends a probe unless one is out.
     fn probe(&mut self, now: Micros, out: &mut Vec<Action>) {
         if self.probe_sent.is_none() {
@@ -483,9 +480,10 @@
                 flagged.push(*flow_id);
             }
         }
-        if !strays.is_empty() {
-            flagged = strays;
+        if strays.len() as f64 >= part * server.standing.len() as f64 {
+            flagged.clear();
         }
+        flagged.append(&mut strays);
         if flagged.is_empty() {
             return;
         }
@@ -841,15 +839,12 @@
             }
             self.groups.retain(|_, count| *count > 0);
         }
-        match &flow.out {
-            Some(at) => {
-                if let Some(server) = self.servers.get_mut(at) {
-                    server.standing.remove(&id);
-                }
-            }
-            None => {
-                self.flows.remove(&id);
-            }
+        let Some(at) = &flow.out else {
+            self.flows.remove(&id);
+            return;
+        };
+        if let Some(server) = self.servers.get_mut(at) {
+            server.standing.remove(&id);
         }
     }
 
@@ -867,7 +862,7 @@
         // otherwise. Guards against clients that bounce between jammed servers, each adding to the jam.
         let dropped = outcome == Outcome::Reset && !mid_flow && !over;
         if let Some(server) = self.servers.get_mut(&at).filter(|_| dropped || outcome == Outcome::Full) {
-            server.crowded(now);
+            server.load = Some((server.load.map_or(FULL, |(load, _)| load.max(FULL)), now));
         }
         match outcome {
             Outcome::Ok | Outcome::Error if !stood => self.alive(now, &at),
@@ -1122,19 +1117,23 @@
         if silent as f64 > (self.fleet.ready as f64 * SILENT_PART).max(1.0) {
             return;
         }
+        // Guards against clients left on a jammed server that gets worse, bit by bit, while others are idle.
+        let (room, balancers) = (self.fleet.room, f64::from(self.settings.fleet_size));
         let Some(server) = self.servers.get_mut(id) else { return };
         if !server.ready() || now < server.shed_after {
             return;
         }
         let slow = server.slow(now);
+        let roomy = room > balancers * server.standing.len() as f64;
+        let (target, again) = if roomy { (SHED_ROOMY, SHED_AGAIN / 2) } else { (SHED_TARGET, SHED_AGAIN) };
         let load = server.load.filter(|(_, at)| now.saturating_sub(*at) < REPORT_LAG).map(|(load, _)| load);
         let part = match load {
-            Some(load) if load > SHED_LOAD => 1.0 - SHED_TARGET / load,
+            Some(load) if load > SHED_LOAD => 1.0 - target / load,
             _ if slow => SHED_BLIND,
             _ if server.strikes >= SILENT_STRIKES => 1.0,
             _ => return,
         };
-        server.shed_after = now + SHED_AGAIN;
+        server.shed_after = now + again;
         self.plan_moves(now, id, part, SHED_TIME);
         self.log(format!("{}: {:.0}% of its load is to move away", id.0, part * 100.0), out);
     }
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -649,3 +649,14 @@
     let refused = (41..=61).filter(|id| bench.refused(*id)).count();
     assert_eq!(refused, 0);
 }
+
+#[test]
+fn a_jammed_server_sheds_most_of_its_load_while_the_others_are_idle() {
+    let mut bench = Bench::new(settings(), 3, &[("a:1", Some(1.0)), ("b:1", Some(0.1)), ("c:1", Some(0.1))]);
+    (1..=40).for_each(|id| bench.feed(Event::Adopted(request(id), sid("a:1"))));
+    bench.feed(Event::Request(request(50)));
+    let probe = Event::Probed { server: sid("a:1"), outcome: Outcome::Ok, elapsed: 1_000, report: load(1.0) };
+    bench.feed(probe);
+    bench.pass(2 * SECOND);
+    assert!(bench.moved().len() > 16, "{} of 40", bench.moved().len());
+}
