A workspace: the decision module in a crate of its own

Cause: the parts to come (sites, operator files, a laboratory) need rooms of their own, and must be able to use the decisions' types without the relay.

--- a/Makefile
+++ b/Makefile
@@ -4,12 +4,12 @@
 	cargo build --release --locked
 
 test:
-	cargo test --locked
+	cargo test --locked --workspace
 
 lint:
 	cargo fmt --check
-	cargo clippy --locked --all-targets -- -D warnings
-	RUSTDOCFLAGS="-D warnings" cargo doc --locked --no-deps
+	cargo clippy --locked --workspace --all-targets -- -D warnings
+	RUSTDOCFLAGS="-D warnings" cargo doc --locked --workspace --no-deps
 
 # EDGE_CONFIG names the configuration's file.
 run: build
--- a/tests/common/mod.rs
+++ b/crates/decisions/tests/common/mod.rs
@@ -4,8 +4,8 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use honeyknot::Balancer;
-use honeyknot::interface::*;
+use honeyknot_decisions::Balancer;
+use honeyknot_decisions::interface::*;
 
 pub const SECOND: Micros = 1_000_000;
 pub const START: Micros = 1_000 * SECOND;
--- a/tests/long_run.rs
+++ b/crates/decisions/tests/long_run.rs
@@ -6,8 +6,8 @@
 use std::sync::Arc;
 
 use common::*;
-use honeyknot::Balancer;
-use honeyknot::interface::*;
+use honeyknot_decisions::Balancer;
+use honeyknot_decisions::interface::*;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,10 +1,8 @@
 #![forbid(unsafe_code)]
 #![doc = include_str!("../README.md")]
 
-pub mod decide;
-pub mod interface;
 pub mod logger;
 pub mod relay;
 pub mod wire;
 
-pub use decide::Balancer;
+pub use honeyknot_decisions::{Balancer, decide, interface};
