Losing and regaining a site: pure decisions, and the relay's seam to them

Need: when a site is lost its traffic must not drown another, and when it is back it must not be drowned itself, though relays share nothing. Until now crossing sites was only a price in the split.

Change: crates/sites decides for each newcomer within which sites the decision module may choose, or turns it away at once with a time to come back that lies apart from the others'. The seam is a request's reach, one condition in the module's may_send; standing sessions are not touched by it. The delays of messages move out of the relay's hub into a room of their own.

--- a/crates/decisions/src/decide.rs
+++ b/crates/decisions/src/decide.rs
@@ -531,7 +531,9 @@
         let near = near.entry.server.clone();
         let stood = self.flows.iter().rev().filter(|(_, f)| f.standing && now >= f.sent_at + STRAY_STAYS);
         let stood = stood.filter_map(|(id, f)| Some((*id, f, self.servers.get(f.out.as_ref()?)?)));
-        let strays = stood.filter(|(_, f, s)| self.far(s) > 1.0 || self.stray(&f.request, s, now));
+        let away = |s: &Server| self.far(s) > 1.0;
+        let strays = stood
+            .filter(|(_, f, s)| if away(s) { self.settings.homing } else { self.stray(&f.request, s, now) });
         let strays =
             strays.filter(|(_, _, s)| s.moves.is_none()).map(|(id, _, s)| (self.estimate(s, now), id, s));
         let Some((_, id, from)) = strays.max_by(|a, b| a.0.total_cmp(&b.0)) else { return };
@@ -605,9 +607,10 @@
         }
     }
 
-    /// The rules of repetition: whether this request may be sent to this server now.
+    /// The request's reach and the rules of repetition: whether it may be sent to this server now.
     fn may_send(&self, flow: &Flow, entry: &ServerEntry, now: Micros) -> bool {
-        let Some((zone, cell, since)) = flow.may_have_run else { return true };
+        let reach = flow.request.reach.holds(entry.zone);
+        let Some((zone, cell, since)) = flow.may_have_run.filter(|_| reach) else { return reach };
         match self.class(flow).map(|c| c.effect) {
             Some(Effect::Idempotent) => true,
             Some(Effect::Deduplicated { scope, window }) => {
@@ -839,12 +842,9 @@
             }
             self.groups.retain(|_, count| *count > 0);
         }
-        let Some(at) = &flow.out else {
-            self.flows.remove(&id);
-            return;
-        };
-        if let Some(server) = self.servers.get_mut(at) {
-            server.standing.remove(&id);
+        match flow.out.as_ref().map(|at| self.servers.get_mut(at)) {
+            None => drop(self.flows.remove(&id)),
+            Some(server) => drop(server.map(|s| s.standing.remove(&id))),
         }
     }
 
--- a/crates/decisions/src/interface.rs
+++ b/crates/decisions/src/interface.rs
@@ -30,6 +30,29 @@
 /// A zone; balancers and servers of equal `ZoneId` are near each other.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ZoneId(pub usize);
+/// The zones within which a request may be placed, for as long as it asks. A connection that stands is not touched.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Reach(u128);
+
+impl Reach {
+    /// All zones.
+    pub const EVERYWHERE: Reach = Reach(u128::MAX);
+    /// No zone.
+    pub const NOWHERE: Reach = Reach(0);
+    /// Zones from this number on cannot be told apart: they are in no reach but [`Reach::EVERYWHERE`].
+    pub const MOST: usize = 128;
+
+    /// This reach and one more zone.
+    pub fn with(self, zone: ZoneId) -> Reach {
+        Reach(self.0 | u32::try_from(zone.0).ok().and_then(|z| 1u128.checked_shl(z)).unwrap_or(0))
+    }
+
+    /// Whether a server of that zone is within reach; one without a zone always is.
+    pub fn holds(self, zone: Option<ZoneId>) -> bool {
+        self == Reach::EVERYWHERE || zone.is_none_or(|z| z.0 < Reach::MOST && self.0 >> z.0 & 1 == 1)
+    }
+}
+
 /// A machine type.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct KindId(pub usize);
@@ -268,6 +291,8 @@
     pub tells_delay: bool,
     /// Events come at most this often.
     pub tick: Micros,
+    /// Connections that cross zones are brought home by the decisions; else it is up to who sets the reach.
+    pub homing: bool,
     /// What is permitted.
     pub permissions: Permissions,
     /// The rules' figures.
@@ -365,6 +390,8 @@
     pub retry: bool,
     /// Packets of an open connection that another balancer placed.
     pub mid_flow: bool,
+    /// Where it may be placed.
+    pub reach: Reach,
 }
 
 /// How an attempt or a probe ended.
--- a/crates/decisions/tests/common/mod.rs
+++ b/crates/decisions/tests/common/mod.rs
@@ -42,6 +42,7 @@
         tells_load: true,
         tells_delay: true,
         tick: 2_000,
+        homing: true,
         permissions: Permissions {
             cancel: true,
             peers: false,
@@ -111,6 +112,7 @@
         returning: false,
         retry: false,
         mid_flow: false,
+        reach: Reach::EVERYWHERE,
     }
 }
 
--- a/crates/decisions/tests/long_run.rs
+++ b/crates/decisions/tests/long_run.rs
@@ -210,6 +210,7 @@
                     group: group(&format!("g{}", w.rng.random_range(0..5))),
                     time_left: left,
                     mid_flow: w.rng.random_range(0..10) == 0,
+                    reach: Reach::EVERYWHERE,
                     returning: w.rng.random_range(0..5) == 0,
                     ..request(step)
                 };
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,7 +3,10 @@
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
-use honeyknot::relay::{self, config::Config};
+use honeyknot::relay::{
+    self,
+    config::{Config, OperatorFiles},
+};
 use log::LevelFilter;
 
 /// Relay for the long-lived study sessions of the `accra-study` deployment.
@@ -21,20 +24,25 @@
         /// The least level that is logged: error, warn, info or debug.
         #[arg(long, default_value = "info", env = "HONEYKNOT_LOG")]
         log: LevelFilter,
+        #[command(flatten)]
+        files: OperatorFiles,
     },
     /// Read the configuration as `serve` would and say what it tells.
-    CheckConfig,
+    CheckConfig {
+        #[command(flatten)]
+        files: OperatorFiles,
+    },
     /// Print name and version.
     Version,
 }
 
 fn main() -> ExitCode {
     let done = match Cli::parse().command {
-        Command::Serve { log } => {
+        Command::Serve { log, files } => {
             honeyknot::logger::start(log);
-            Config::from_environment().and_then(relay::serve)
+            relay::serve(files)
         }
-        Command::CheckConfig => Config::from_environment().map(|config| describe(&config)),
+        Command::CheckConfig { files } => Config::from_environment(&files).map(|config| describe(&config)),
         Command::Version => {
             println!("honeyknot {}", env!("CARGO_PKG_VERSION"));
             Ok(())
@@ -53,4 +61,8 @@
     println!("relay {} listens on {}, discovery at {}", config.name, config.listen, config.discovery);
     let known = config.known.as_ref().map_or(0, |k| k.entries.len());
     println!("{} descriptors, {known} card servers known", config.sockets);
+    if let Some(plan) = &config.sites {
+        let (limit, leave) = (plan.spill_limit * 100.0, plan.leave_limit * 100.0);
+        println!("sites: spill up to {limit}% of a site, {leave}% of newcomers may leave theirs");
+    }
 }
--- a/src/relay/config.rs
+++ b/src/relay/config.rs
@@ -1,8 +1,9 @@
 //! What a relay is told at its start.
 
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
+use honeyknot_sites::Plan;
 use serde_json::Value;
 
 use super::lines::address;
@@ -18,6 +19,14 @@
     std::env::var(name).ok().filter(|v| !v.is_empty())
 }
 
+/// Files by which operators switch on what the platform's configuration does not speak of.
+#[derive(Clone, Debug, Default, clap::Args)]
+pub struct OperatorFiles {
+    /// Tiers of sites, the limit on spill and the way back: an operator file such as deploy/sites.conf.
+    #[arg(long, value_name = "FILE", env = "HONEYKNOT_SITES")]
+    pub sites: Option<PathBuf>,
+}
+
 /// A relay's configuration.
 pub struct Config {
     /// The relay's name.
@@ -36,24 +45,33 @@
     pub settings: Settings,
     /// The settings' names.
     pub names: Names,
+    /// The operators' plan for losing and regaining sites; none where it is not switched on.
+    pub sites: Option<Plan>,
 }
 
 impl Config {
-    /// Reads `EDGE_CONFIG`'s file; the other variables, where set, go before what it says.
-    pub fn from_environment() -> Result<Config, String> {
-        Config::from_file(variable)
+    /// Reads `EDGE_CONFIG`'s file; the other variables, where set, go before what it says. Operator files are read
+    /// against it, and the faults of all of them are told.
+    pub fn from_environment(files: &OperatorFiles) -> Result<Config, String> {
+        Config::from_file(files, variable)
     }
 
-    /// Reads the file again. Where discovery is, the file alone says now: the variable still holds what was told
+    /// Reads the files again. Where discovery is, the file alone says now: the variable still holds what was told
     /// at the start. Guards against a reload that changes nothing.
-    pub fn again() -> Result<Config, String> {
-        Config::from_file(|name| variable(name).filter(|_| name != "EDGE_DISCOVERY"))
+    pub fn again(files: &OperatorFiles) -> Result<Config, String> {
+        Config::from_file(files, |name| variable(name).filter(|_| name != "EDGE_DISCOVERY"))
     }
 
-    fn from_file(var: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+    fn from_file(files: &OperatorFiles, var: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
         let path = var("EDGE_CONFIG").ok_or("EDGE_CONFIG is not set")?;
         let text = std::fs::read(Path::new(&path)).map_err(|e| format!("{path}: {e}"))?;
-        Config::read(&text, var).map_err(|e| format!("{path}: {e}"))
+        let mut config = Config::read(&text, var).map_err(|e| format!("{path}: {e}"))?;
+        if let Some(file) = &files.sites {
+            let text = std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?;
+            let plan = Plan::read(&file.display().to_string(), &text, config.names.zones());
+            config.sites = Some(plan.map_err(|faults| faults.to_string())?);
+        }
+        Ok(config)
     }
 
     /// Reads a configuration; `var` looks up the environment.
@@ -85,6 +103,7 @@
             known,
             settings,
             names,
+            sites: None,
         })
     }
 }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -6,12 +6,14 @@
 pub mod clock;
 pub mod config;
 pub mod crowd;
+mod delays;
 pub mod lines;
 pub mod probe;
 pub mod reload;
 pub mod roll;
 pub mod session;
 pub mod shutdown;
+mod sites;
 pub mod wheel;
 
 use std::cell::{Cell, RefCell};
@@ -21,6 +23,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use honeyknot_sites::{Sites, Verdict};
 use log::{error, info, warn};
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
@@ -30,8 +33,9 @@
 use crate::interface::*;
 use crate::wire::Names;
 use clock::Clock;
-use config::Config;
+use config::{Config, OperatorFiles};
 use crowd::Crowd;
+use delays::Delays;
 use lines::SessionHead;
 use probe::Errand;
 use roll::{Ask, RollNews};
@@ -53,19 +57,6 @@
 const ADOPT_START: Micros = 40_000_000;
 /// ... and one that names its card server later is owed an answer within 3 s, like any other.
 const ADOPT_LATER: Micros = 2_000_000;
-/// Slow messages of one card server are told of this often.
-const DELAY_TOLD: Micros = 1_000_000;
-
-/// A delay not seen again for this long is no longer told of.
-const DELAY_LASTS: Micros = 4_000_000;
-
-/// A card server where sessions stand is asked again after this: reports there are refreshed about as often.
-const MEASURE: Micros = 1_500_000;
-/// One that reports less load than this ...
-const LIGHT: f64 = 0.6;
-/// ... is asked again after this: its messages are quick, and asking costs.
-const MEASURE_LIGHT: Micros = 8_000_000;
-
 /// The relay as its tasks share it.
 pub type Shared = Rc<RefCell<Relay>>;
 
@@ -104,15 +95,7 @@
     deadline: Micros,
     out: Option<(AttemptId, ServerId, Micros)>,
     stands: bool,
-}
-
-/// What messages take at a slow card server.
-struct Slow {
-    ms: f64,
-    /// A report told of it, not a client's line.
-    reported: bool,
-    seen: Micros,
-    told: Micros,
+    deck: Option<GroupKey>,
 }
 
 /// A descriptor in the count; dropping it gives it back.
@@ -160,10 +143,10 @@
     seats: BTreeMap<RequestId, Seat>,
     last_id: u32,
     probes: BTreeMap<ServerId, UnboundedSender<Errand>>,
-    /// Card servers whose messages are slow.
-    slow: BTreeMap<ServerId, Slow>,
-    /// When card servers are next to be asked for what messages take there.
-    measure_at: BTreeMap<ServerId, Micros>,
+    /// What messages take at the card servers.
+    delays: Delays,
+    /// Losing and regaining sites, where the operators have switched it on.
+    sites: Option<Sites>,
     asks: UnboundedSender<Ask>,
     roll_trouble: bool,
     events: VecDeque<Event>,
@@ -182,14 +165,15 @@
     pub fn new(config: Config) -> Result<(Shared, UnboundedReceiver<Ask>), String> {
         let timers = Timers::new(Clock::start());
         let born = timers.clock.now();
-        let balancer = Balancer::new(config.settings.clone(), config.seed, born)
-            .map_err(|e| format!("settings: {e}"))?;
+        let mut settings = config.settings;
+        let sites = sites::start(config.sites, &mut settings, &config.names, config.seed, born)?;
+        let balancer =
+            Balancer::new(settings.clone(), config.seed, born).map_err(|e| format!("settings: {e}"))?;
         let (asks, asked) = unbounded_channel();
         let relay = Rc::new_cyclic(|me| {
             RefCell::new(Relay {
                 timers,
                 names: config.names,
-                settings: config.settings,
                 balancer,
                 version: 0,
                 addresses: BTreeMap::new(),
@@ -197,8 +181,9 @@
                 seats: BTreeMap::new(),
                 last_id: 0,
                 probes: BTreeMap::new(),
-                slow: BTreeMap::new(),
-                measure_at: BTreeMap::new(),
+                delays: Delays::new(&settings),
+                settings,
+                sites,
                 asks,
                 roll_trouble: false,
                 events: VecDeque::new(),
@@ -237,6 +222,7 @@
 
     fn take_known(&mut self, news: RollNews) {
         let update = ListUpdate::Cached(self.note_roll(news));
+        self.site_news(&update);
         self.feed(Event::Servers { version: self.version, update });
     }
 
@@ -248,6 +234,7 @@
         let whole = news.whole;
         let entries = self.note_roll(news);
         let update = if whole { ListUpdate::Full(entries) } else { ListUpdate::Delta(entries) };
+        self.site_news(&update);
         self.feed(Event::Servers { version: self.version, update });
     }
 
@@ -287,6 +274,7 @@
     /// descriptors there may be. The roll held stays in use until the new discovery tells its own.
     pub fn reconfigure(&mut self, config: &Config) {
         self.most_descriptors = config.sockets;
+        self.site_plan(config);
         self.ask_discovery(Ask::Renew(config.discovery));
     }
 
@@ -297,9 +285,16 @@
 
     /// A client asks for a session, of a class that must be known. It gets orders until its seat is left.
     pub fn ask(&mut self, head: &SessionHead) -> Option<(RequestId, UnboundedReceiver<Order>)> {
-        let request = self.request(head)?;
+        let mut request = self.request(head)?;
         let seat = self.seat(&request);
-        self.feed(Event::Request(request));
+        match self.site_verdict(&request) {
+            Verdict::Within(reach) => {
+                request.reach = reach;
+                self.feed(Event::Request(request));
+            }
+            // The decisions never hear of it: there is nothing to choose.
+            Verdict::Refuse(away) => self.order(request.id, Order::Refuse(away)),
+        }
         Some(seat)
     }
 
@@ -314,6 +309,7 @@
             (seat.attempts, seat.stands) = (1, true);
             seat.out = Some((AttemptId(0), server.clone(), now));
         }
+        self.site_adopted(&request, &server);
         self.feed(Event::Adopted(request, server));
         Some((id, orders))
     }
@@ -321,7 +317,8 @@
     fn seat(&mut self, request: &Request) -> (RequestId, UnboundedReceiver<Order>) {
         let (orders, queue) = unbounded_channel();
         let deadline = self.timers.clock.now().saturating_add(request.time_left);
-        let seat = Seat { orders, attempts: 0, deadline, out: None, stands: false };
+        let deck = request.group.clone();
+        let seat = Seat { orders, attempts: 0, deadline, out: None, stands: false, deck };
         self.seats.insert(request.id, seat);
         (request.id, queue)
     }
@@ -341,6 +338,7 @@
             returning: head.returning,
             retry: head.retry,
             mid_flow: false,
+            reach: Reach::EVERYWHERE,
         })
     }
 
@@ -350,6 +348,7 @@
         seat.stands = true;
         let Some((attempt, server, sent)) = seat.out.clone() else { return };
         let elapsed = self.timers.clock.now().saturating_sub(sent);
+        self.site_stands(id, &server);
         self.feed(Event::Established { id, attempt, server, elapsed });
     }
 
@@ -361,6 +360,7 @@
             return;
         };
         let elapsed = self.timers.clock.now().saturating_sub(sent);
+        self.site_ended(id, &server, outcome);
         self.feed(Event::Outcome { id, attempt, outcome, closed, server, elapsed, report });
     }
 
@@ -379,6 +379,9 @@
 
     /// The card server told the session's load.
     pub fn load_told(&mut self, id: RequestId, load: f64) {
+        if let Some(sites) = &mut self.sites {
+            sites.load_told(id, load);
+        }
         self.noted(id, Note::Load(load));
     }
 
@@ -390,66 +393,28 @@
         }
     }
 
-    /// Where delays are told at all, one is told about once a second while it is long, and once more when it no
-    /// longer is.
-    ///
-    /// Card servers may answer client lines beside their work, at once however far behind they are; their
-    /// reports tell then what a message really takes. Guards against a relay that learns of no slow card server:
-    /// a quick line does not end a delay that a report told of.
+    /// A message took this long at a card server.
     fn delay_seen(&mut self, server: ServerId, ms: f64, reported: bool) {
-        let aims = self.settings.classes.iter().map(|c| c.message_aim).filter(|aim| *aim > 0);
-        let Some(aim) = aims.min().filter(|_| self.settings.tells_delay) else { return };
-        let now = self.timers.clock.now();
-        let long = ms * 1e3 > aim as f64 / 3.0;
-        match self.slow.get_mut(&server) {
-            None if !long => return,
-            Some(slow) if !long && slow.reported != reported => return,
-            Some(slow) if long && now < slow.told + DELAY_TOLD => {
-                (slow.ms, slow.seen) = (ms, now);
-                return;
-            }
-            _ => {}
-        }
-        if long {
-            self.slow.insert(server.clone(), Slow { ms, reported, seen: now, told: now });
-        } else {
-            self.slow.remove(&server);
+        if self.delays.seen(self.timers.clock.now(), &server, ms, reported) {
+            self.tell_delay(&server, ms);
         }
-        self.tell_delay(&server, ms);
     }
 
     /// Tells again of the delays that last, as far as they were seen of late.
     fn tell_delays(&mut self) {
-        let now = self.timers.clock.now();
-        self.slow.retain(|_, slow| now < slow.seen + DELAY_LASTS);
-        let due = self.slow.iter_mut().filter(|(_, slow)| slow.reported && now >= slow.told + DELAY_TOLD);
-        let due: Vec<(ServerId, f64)> = due
-            .map(|(server, slow)| {
-                slow.told = now;
-                (server.clone(), slow.ms)
-            })
-            .collect();
-        for (server, ms) in due {
+        for (server, ms) in self.delays.due(self.timers.clock.now()) {
             self.tell_delay(&server, ms);
         }
     }
 
     /// Asks one of the card servers where sessions of this relay stand, the one that is due for longest.
-    ///
-    /// Where delays are told, a relay has to measure them itself, and only reports tell them (`delay_seen`).
-    /// Guards against sessions that stay on a slow card server until a newcomer happens to be probed for there.
     fn measure_delay(&mut self) {
-        let settings = &self.settings;
-        let asks = settings.permissions.probes && settings.reports != ReportSource::Nowhere;
-        if !settings.tells_delay || !asks || self.closing {
+        if self.closing {
             return;
         }
-        let now = self.timers.clock.now();
-        let due = |id: &ServerId| self.measure_at.get(id).copied().unwrap_or(0);
         let standing = self.seats.values().filter(|s| s.stands).filter_map(|s| s.out.as_ref());
-        let oldest = standing.map(|(_, id, _)| id).filter(|id| !self.leaving.contains_key(*id));
-        if let Some(id) = oldest.min_by_key(|id| due(id)).filter(|id| now >= due(id)).cloned() {
-            self.measure_at.insert(id.clone(), now + MEASURE);
+        let standing = standing.map(|(_, id, _)| id).filter(|id| !self.leaving.contains_key(*id));
+        if let Some(id) = self.delays.next_to_measure(self.timers.clock.now(), standing) {
             self.errand(id, Errand::Look);
         }
     }
@@ -472,9 +437,9 @@
     pub fn probed(
         &mut self, server: ServerId, outcome: Outcome, elapsed: Micros, report: Option<LoadReport>,
     ) {
-        let light = report.as_ref().and_then(|r| r.load).is_some_and(|load| load < LIGHT);
-        let next = self.timers.clock.now() + if light { MEASURE_LIGHT } else { MEASURE };
-        self.measure_at.insert(server.clone(), next);
+        let load = report.as_ref().and_then(|r| r.load);
+        self.delays.measured(self.timers.clock.now(), &server, load);
+        self.site_probed(&server, outcome, load);
         let latency = report.as_ref().and_then(|r| r.latency_ms);
         self.feed(Event::Probed { server: server.clone(), outcome, elapsed, report });
         if let Some(ms) = latency {
@@ -515,7 +480,9 @@
             None => Outcome::ConnectFailed,
             Some(&address) => {
                 seat.out = Some((attempt, server.clone(), now));
-                let _ = seat.orders.send(Order::Place(Placement { attempt, server, address, timeout }));
+                let place = Placement { attempt, server: server.clone(), address, timeout };
+                let _ = seat.orders.send(Order::Place(place));
+                self.site_placed(id, &server);
                 return;
             }
         };
@@ -639,15 +606,18 @@
 }
 
 /// Serves until it is told to stop.
-pub fn serve(config: Config) -> Result<(), String> {
+///
+/// The files are read again at SIGHUP.
+pub fn serve(files: OperatorFiles) -> Result<(), String> {
+    let config = Config::from_environment(&files)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("the runtime does not start: {e}"))?;
-    LocalSet::new().block_on(&runtime, serve_here(config))
+    LocalSet::new().block_on(&runtime, serve_here(config, files))
 }
 
-async fn serve_here(config: Config) -> Result<(), String> {
+async fn serve_here(config: Config, files: OperatorFiles) -> Result<(), String> {
     let stop = shutdown::signal()?;
-    let reloads = reload::signal(Config::again)?;
+    let reloads = reload::signal(move || Config::again(&files))?;
     let listener = open_listener(config.listen).map_err(|e| format!("{}: {e}", config.listen))?;
     serve_on(listener, config, stop, reloads).await
 }
@@ -697,9 +667,10 @@
 async fn tell_delays(relay: Shared) {
     let timers = relay.borrow().timers.clone();
     loop {
-        timers.nap(DELAY_TOLD / 4).await;
+        timers.nap(delays::LOOK).await;
         relay.borrow_mut().tell_delays();
         relay.borrow_mut().measure_delay();
+        relay.borrow_mut().tend_sites();
     }
 }
 
--- /dev/null
+++ b/src/relay/sites.rs
@@ -0,0 +1,127 @@
+//! Between the relay and [`Sites`]: tells it what happens on the sockets and carries out what it wants.
+
+use honeyknot_sites::{Do, Plan, Setup, Sites, Verdict};
+use log::info;
+
+use super::config::Config;
+use super::probe::Errand;
+use super::{Order, Relay};
+use crate::interface::*;
+use crate::wire::Names;
+
+/// The least price of crossing sites that the decisions reckon with when tiers hold: they then prefer the own site
+/// wherever it has room.
+const CROSSING: f64 = 0.2;
+
+/// Starts the relay's part where the operators have a plan, and has the decisions leave to it what it decides.
+pub fn start(
+    plan: Option<Plan>, settings: &mut Settings, names: &Names, seed: u64, now: Micros,
+) -> Result<Option<Sites>, String> {
+    let Some(plan) = plan else { return Ok(None) };
+    let home = settings.zone.ok_or("sites: the settings name no site of this relay")?;
+    let setup = Setup {
+        plan,
+        names: names.zones().to_vec(),
+        home,
+        relays: settings.fleet_size,
+        cold: settings.rules.cold,
+        start_capacity: settings.rules.start_capacity,
+        seed,
+    };
+    let sites = Sites::new(setup, now).map_err(|why| format!("sites: {why}"))?;
+    settings.homing = false;
+    settings.prices.cross_zone = settings.prices.cross_zone.max(CROSSING);
+    Ok(Some(sites))
+}
+
+impl Relay {
+    /// Tells the sites' part something, if there is one, and does what it wants.
+    fn tell_sites(&mut self, tell: impl FnOnce(&mut Sites, Micros, &mut Vec<Do>)) {
+        let Some(sites) = &mut self.sites else { return };
+        let mut wants = Vec::new();
+        tell(sites, self.timers.clock.now(), &mut wants);
+        for want in wants {
+            match want {
+                Do::Move(id) => self.order(id, Order::Move),
+                Do::Ask(server) => self.errand(server, Errand::Look),
+                Do::Log(text) => info!("site: {text}"),
+            }
+        }
+    }
+
+    pub(super) fn site_news(&mut self, update: &ListUpdate) {
+        self.tell_sites(|sites, now, wants| sites.take_list(now, update, wants));
+    }
+
+    /// Where a newcomer may be placed, or that it may not.
+    pub(super) fn site_verdict(&mut self, request: &Request) -> Verdict {
+        let (now, most) = (self.timers.clock.now(), self.longest_away());
+        match self.sites.as_mut().map(|sites| sites.ask(now, request.group.as_ref())) {
+            None => Verdict::Within(Reach::EVERYWHERE),
+            Some(Verdict::Refuse(away)) => Verdict::Refuse(away.min(most)),
+            Some(within) => within,
+        }
+    }
+
+    pub(super) fn site_placed(&mut self, id: RequestId, server: &ServerId) {
+        let deck = self.seats.get(&id).and_then(|s| s.deck.clone());
+        self.tell_sites(|sites, now, _| sites.placed(now, id, server, deck.as_ref()));
+    }
+
+    pub(super) fn site_adopted(&mut self, request: &Request, server: &ServerId) {
+        self.tell_sites(|sites, now, _| sites.adopted(now, request.id, server, request.group.as_ref()));
+    }
+
+    pub(super) fn site_stands(&mut self, id: RequestId, server: &ServerId) {
+        self.tell_sites(|sites, now, wants| {
+            sites.stands(now, id);
+            sites.sign(now, server, true, wants);
+        });
+    }
+
+    /// An attempt, or a session that stood, has ended. One that stood says nothing of its card server's silence: a
+    /// jammed one resets sessions and still answers.
+    pub(super) fn site_ended(&mut self, id: RequestId, server: &ServerId, outcome: Outcome) {
+        let stood = self.seats.get(&id).is_some_and(|s| s.stands);
+        let alive = match outcome {
+            Outcome::Timeout | Outcome::ConnectFailed => Some(false),
+            Outcome::Ok | Outcome::Error | Outcome::Full => Some(true),
+            Outcome::Reset | Outcome::Cancelled | Outcome::Moot => None,
+        };
+        self.tell_sites(|sites, now, wants| {
+            sites.ended(id);
+            if let Some(alive) = alive.filter(|_| !stood) {
+                sites.sign(now, server, alive, wants);
+            }
+        });
+    }
+
+    pub(super) fn site_probed(&mut self, server: &ServerId, outcome: Outcome, load: Option<f64>) {
+        let alive = match outcome {
+            Outcome::Ok | Outcome::Error | Outcome::Full => Some(true),
+            Outcome::Timeout | Outcome::ConnectFailed | Outcome::Reset => Some(false),
+            Outcome::Cancelled | Outcome::Moot => None,
+        };
+        self.tell_sites(|sites, now, wants| {
+            if let Some(alive) = alive {
+                sites.sign(now, server, alive, wants);
+            }
+            if let Some(load) = load {
+                sites.reported(now, server, load);
+            }
+        });
+    }
+
+    pub(super) fn tend_sites(&mut self) {
+        if !self.closing {
+            self.tell_sites(Sites::tick);
+        }
+    }
+
+    /// Takes the operators' plan from a configuration that was read again.
+    pub(super) fn site_plan(&mut self, config: &Config) {
+        if let (Some(sites), Some(plan)) = (&mut self.sites, &config.sites) {
+            sites.replan(plan.clone());
+        }
+    }
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -404,6 +404,7 @@
             returning: m.flag(at.returning)?,
             retry: m.flag(at.retry)?,
             mid_flow: m.flag(at.mid_flow)?,
+            reach: Reach::EVERYWHERE,
         })
     }
 
@@ -431,6 +432,11 @@
         place(&self.zones, name).map(ZoneId)
     }
 
+    /// The names of all zones, each at the place of its [`ZoneId`].
+    pub fn zones(&self) -> &[String] {
+        &self.zones
+    }
+
     fn report(&self, m: &Message, i: usize) -> Parsed<Option<LoadReport>> {
         let Some(value) = m.opt(i) else { return Ok(None) };
         let pairs = value.as_object().ok_or_else(|| m.wrong(i, "a load report"))?;
@@ -597,6 +603,7 @@
         tells_load: s.flag("familyInfo.tellsLoad", false)?,
         tells_delay: s.flag("familyInfo.tellsDelay", false)?,
         tick: s.u64("roundUs", 1_000)?,
+        homing: true,
         permissions: Permissions {
             cancel: s.flag("permissions.mayCancel", false)?,
             peers: s.flag("permissions.peers", false)?,
