The laboratory: a world on loopback that loses and regains a site, with books of the far side

Need: losing a site must be shown on real sockets with real relays, by what clients and card servers count; a newcomer has had nothing to run. And the limit on spill has to be seen at size.

The lab is no default member: the platform does not build it. Costs found on the way are mended in crates/sites: sites that are lost in part have a claim on the spill limit, claims are added up once per survey, decks are looked up by site.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,9 @@
-.PHONY: build test lint run check-config
+.PHONY: try build test lint run check-config
+
+# A whole world on loopback that loses and regains a site while one looks. ARGS="--for 20s" ends it by itself.
+try:
+	cargo build --release --locked -p honeyknot -p honeyknot-lab
+	target/release/honeyknot-lab try $(ARGS)
 
 build:
 	cargo build --release --locked
--- a/crates/sites/src/book.rs
+++ b/crates/sites/src/book.rs
@@ -29,6 +29,8 @@
     entries: BTreeMap<RequestId, Entry>,
     /// Sessions of each deck on each card server.
     decks: BTreeMap<(ServerId, GroupKey), u32>,
+    /// How many card servers of each site hold a deck by this relay's sessions.
+    deck_sites: BTreeMap<(ZoneId, GroupKey), u32>,
     /// Usual sessions, and decks, held at each site.
     held: BTreeMap<ZoneId, (f64, u32)>,
     /// The sessions of each site that stand, by deck.
@@ -44,7 +46,10 @@
         if let Some(deck) = &entry.deck {
             let count = self.decks.entry((entry.server.clone(), deck.clone())).or_default();
             *count += 1;
-            held.1 += u32::from(*count == 1);
+            if *count == 1 {
+                held.1 += 1;
+                *self.deck_sites.entry((entry.site, deck.clone())).or_default() += 1;
+            }
         }
         self.entries.insert(id, entry);
     }
@@ -77,6 +82,14 @@
                 if *count == 0 {
                     self.decks.remove(&key);
                     held.1 -= 1;
+                    let key = (entry.site, deck.clone());
+                    let sites = self.deck_sites.get_mut(&key);
+                    if sites.is_some_and(|count| {
+                        *count -= 1;
+                        *count == 0
+                    }) {
+                        self.deck_sites.remove(&key);
+                    }
                 }
             }
         }
@@ -91,9 +104,9 @@
         self.held.get(&site).map_or(0.0, |(units, decks)| units + f64::from(*decks) * deck_cost)
     }
 
-    /// Whether a deck has a session at one of these card servers already.
-    pub fn has_deck(&self, servers: &BTreeSet<ServerId>, deck: &GroupKey) -> bool {
-        servers.iter().any(|server| self.decks.contains_key(&(server.clone(), deck.clone())))
+    /// Whether a deck has a session of this relay at a site already.
+    pub fn has_deck(&self, site: ZoneId, deck: &GroupKey) -> bool {
+        self.deck_sites.contains_key(&(site, deck.clone()))
     }
 
     /// How many sessions stand at other sites.
--- a/crates/sites/src/lib.rs
+++ b/crates/sites/src/lib.rs
@@ -125,7 +125,8 @@
     /// The same with cold ones counted as far as they have warmed.
     warm: f64,
     load: f64,
-    servers: BTreeSet<ServerId>,
+    /// Somebody there has given a sign of life.
+    proven: bool,
 }
 
 struct Place {
@@ -142,6 +143,27 @@
     doubted: Option<Micros>,
     /// All of it is silent, by what this relay has found out.
     silent: bool,
+    /// How strong its relays' claim on other sites is, from 0 to 1.
+    need: f64,
+}
+
+impl Place {
+    /// Whether it has had a claim for longer than one that began then.
+    fn before(&self, short: Micros) -> bool {
+        self.need > 0.0 && self.site.short_since().is_none_or(|since| since < short)
+    }
+}
+
+/// What all sites claim together.
+#[derive(Default)]
+struct Claims {
+    /// All relays, and those with a claim as far as they have one.
+    relays: f64,
+    needs: f64,
+    /// Sites whose claim is older than the home site's.
+    before: u32,
+    /// How long a relay takes to move away all that it may hold at all sites, at its part of the pace of moves.
+    giving_back: Micros,
 }
 
 /// One relay's part in losing and regaining sites.
@@ -169,6 +191,7 @@
     /// The roll that is held is from before the start.
     hearsay: bool,
     blind: bool,
+    claims: Claims,
     /// The mean load that sessions tell, in the card servers' own unit.
     mean_told: Option<f64>,
 }
@@ -195,6 +218,7 @@
             recent: (0.0, now),
             doubted: None,
             silent: false,
+            need: 0.0,
         });
         let places: Vec<Place> = places.collect();
         if places[home.0].relays < 1.0 && plan.relays.contains_key(&own) {
@@ -214,6 +238,7 @@
             moving: None,
             hearsay: true,
             blind: false,
+            claims: Claims::default(),
             mean_told: None,
             plan,
             names,
@@ -301,6 +326,7 @@
                 self.changed(now, index, change, out);
             }
         }
+        self.add_claims(now);
     }
 
     /// An attempt or a probe has ended: the card server gave a sign of life, or none.
@@ -415,11 +441,11 @@
     fn takes(&self, site: ZoneId, now: Micros, deck: Option<&GroupKey>) -> bool {
         let place = &self.places[site.0];
         // A roll from before the start proves nothing: somebody there must have answered.
-        let proven = !self.hearsay || place.sum.servers.iter().any(|id| self.servers[id].alive > 0);
+        let proven = !self.hearsay || place.sum.proven;
         if !place.site.up() || place.yields || !proven || self.load(site, now) >= self.plan.yield_at {
             return false;
         }
-        let new_deck = deck.is_some_and(|deck| !self.book.has_deck(&place.sum.servers, deck));
+        let new_deck = deck.is_some_and(|deck| !self.book.has_deck(site, deck));
         let more = 1.0 + if new_deck { self.plan.deck_cost } else { 0.0 };
         (self.book.held(site, self.plan.deck_cost) + more) * self.plan.session_load <= self.part(site, now)
     }
@@ -437,39 +463,48 @@
     /// everybody, a relay takes only what would be its part if all were lost. One that is lost after others takes up
     /// its part as slowly as those give theirs back.
     fn part_share(&self, site: ZoneId, now: Micros) -> f64 {
-        let others = || self.places.iter().enumerate().filter(|(i, _)| *i != site.0).map(|(_, p)| p);
-        let all: f64 = others().map(|p| p.relays).sum::<f64>().max(1.0);
+        let (place, home) = (&self.places[site.0], &self.places[self.home.0]);
+        let all = (self.claims.relays - place.relays).max(1.0);
         let overflow = self.plan.overflow / all;
-        let home = &self.places[self.home.0];
-        let Some(lost) = home.site.lost_since() else { return overflow };
-        let lost = if lost == 0 { now.saturating_sub(self.plan.news_skew) } else { lost };
-        let relays: f64 = others().filter(|p| self.claims(p, now)).map(|p| p.relays).sum::<f64>().max(1.0);
-        let age = now.saturating_sub(lost);
-        let before = others().any(|p| p.site.lost_since().is_some_and(|since| since > 0 && since < lost));
-        let claim = if before {
+        let need = home.need;
+        let Some(short) = home.site.short_since().filter(|_| need > 0.0) else { return overflow };
+        let needs = self.claims.needs - place.relays * place.need;
+        let age = now.saturating_sub(short);
+        let whole = need / needs.max(need);
+        let claim = if self.claims.before > u32::from(place.before(short)) {
             let taken = age.saturating_sub(self.plan.news_skew) as f64;
-            let over = self.plan.claim.max(self.giving_back() / 2).max(1) as f64;
-            (taken / over).min(1.0) / relays
+            let over = self.plan.claim.max(self.claims.giving_back / 2).max(1) as f64;
+            (taken / over).min(1.0) * whole
         } else if age < self.plan.news_skew {
             1.0 / all
         } else {
-            1.0 / relays
+            whole
         };
         overflow + (1.0 - self.plan.overflow) * claim
     }
 
-    /// Whether relays of a home site may hold more than the overflow elsewhere: while it is lost, and until all that
-    /// spilled from it must have come home at the pace of moves.
-    fn claims(&self, place: &Place, now: Micros) -> bool {
-        let Standing::Up { settled } = place.site.standing() else { return true };
-        settled > 0 && now < settled + self.giving_back()
-    }
-
-    /// How long a relay takes to move away all that it may hold at all sites, at its part of the pace of moves.
-    fn giving_back(&self) -> Micros {
+    /// Adds up all sites' claims, for the parts of the spill limit.
+    ///
+    /// A site's claim is what it cannot carry itself, and all of it until what spilled must have come home at the pace
+    /// of moves.
+    fn add_claims(&mut self, now: Micros) {
         let most: f64 = self.places.iter().map(|p| p.limit * p.sum.warm).sum();
         let pace = (self.plan.moves_per_s / self.relays).max(1e-3);
-        (most / self.plan.session_load / pace * 1e6).min(3.6e9) as Micros
+        let giving_back = (most / self.plan.session_load / pace * 1e6).min(3.6e9) as Micros;
+        for place in &mut self.places {
+            place.need = match place.site.standing() {
+                Standing::Up { settled } if settled > 0 && now < settled + giving_back => 1.0,
+                _ => place.site.need(),
+            };
+        }
+        let short = self.places[self.home.0].site.short_since();
+        let before = self.places.iter().filter(|p| short.is_some_and(|short| p.before(short)));
+        self.claims = Claims {
+            relays: self.places.iter().map(|p| p.relays).sum(),
+            needs: self.places.iter().map(|p| p.relays * p.need).sum(),
+            before: before.count() as u32,
+            giving_back,
+        };
     }
 
     /// Newcomers a second that this relay may send to its own site while that returns.
@@ -508,7 +543,7 @@
         let mut loads = vec![(0.0, 0.0); self.places.len()];
         // Card servers that are silent, and when the earliest sign of life of a site came.
         let mut silent = vec![(0u32, 0u32, 0); self.places.len()];
-        for (id, server) in self.servers.iter().filter(|(_, s)| s.ready) {
+        for server in self.servers.values().filter(|s| s.ready) {
             let sum = &mut sums[server.site.0];
             sum.listed += server.weight;
             let found = &mut silent[server.site.0];
@@ -521,7 +556,7 @@
             sum.usable += server.weight;
             let warmth = self.warmth(server, now);
             sum.warm += server.weight * warmth;
-            sum.servers.insert(id.clone());
+            sum.proven |= server.alive > 0;
             if let Some((load, _)) = server.load.filter(|(_, at)| now < at + REPORT_LASTS) {
                 let (total, weight) = &mut loads[server.site.0];
                 *total += load * server.weight * warmth;
@@ -542,6 +577,7 @@
                 self.changed(now, index, change, out);
             }
         }
+        self.add_claims(now);
     }
 
     /// A site of which several card servers in a row have gone silent, and none has answered since, is silent as a
@@ -638,7 +674,8 @@
             let over = self.load(*z, now) >= self.plan.give_back_at;
             let held = self.book.held(*z, self.plan.deck_cost) * self.plan.session_load;
             // One whose own site is up brings them home; one whose part has shrunk gives back what is over.
-            (over || held > self.part(*z, now) * 1.1 && !home.site.up()) && self.book.standing_at(*z) > 0
+            (over || held > self.part(*z, now) * 1.1 && home.site.short_since().is_some())
+                && self.book.standing_at(*z) > 0
         });
         self.move_bucket.fill(now, self.plan.moves_per_s / self.relays, 1.0);
         while self.move_bucket.has() {
--- a/crates/sites/src/site.rs
+++ b/crates/sites/src/site.rs
@@ -6,6 +6,9 @@
 
 use crate::plan::Plan;
 
+/// A site with less of its usual capacity than this has a claim on others for the rest.
+const SHORT: f64 = 0.75;
+
 /// How a site stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Standing {
@@ -57,13 +60,25 @@
     /// Since when it has had something, though less than it needs to return as a whole.
     small_since: Option<Micros>,
     usual_at: Micros,
+    /// What it has of its usual capacity, and since when that has been too little.
+    share: f64,
+    short_since: Option<Micros>,
 }
 
 impl Site {
     /// A site that is taken for sound.
     pub fn new(now: Micros) -> Site {
         let standing = Standing::Up { settled: 0 };
-        Site { standing, usual: 0.0, flaps: 0.0, flap_at: now, small_since: None, usual_at: now }
+        Site {
+            standing,
+            usual: 0.0,
+            flaps: 0.0,
+            flap_at: now,
+            small_since: None,
+            usual_at: now,
+            share: 1.0,
+            short_since: None,
+        }
     }
 
     /// How it stands.
@@ -76,12 +91,17 @@
         matches!(self.standing, Standing::Up { .. })
     }
 
-    /// When it was lost, if it is not up again.
-    pub fn lost_since(&self) -> Option<Micros> {
+    /// Since when it has been short of capacity: lost, on its way back, or up with a part of it.
+    pub fn short_since(&self) -> Option<Micros> {
+        self.short_since
+    }
+
+    /// The part of its newcomers that it cannot be expected to carry, from 0 to 1.
+    pub fn need(&self) -> f64 {
         match self.standing {
-            Standing::Up { .. } => None,
-            Standing::Lost { since } => Some(since),
-            Standing::Holding { .. } | Standing::Ramping { .. } => Some(0),
+            Standing::Up { .. } if self.short_since.is_some() => (1.0 - self.share).max(0.0),
+            Standing::Up { .. } => 0.0,
+            _ => 1.0,
         }
     }
 
@@ -115,6 +135,7 @@
     /// Takes the site for up at once: what looked like its loss was a fault elsewhere.
     pub fn restore(&mut self, now: Micros) {
         self.standing = Standing::Up { settled: now };
+        self.short_since = None;
     }
 
     /// It has come back whole between two pieces of news: all that is there has just started.
@@ -161,6 +182,9 @@
         self.usual = kept.max(listed).max(usable);
         let share = if self.usual > 0.0 { usable / self.usual } else { 0.0 };
         let gone = usable <= 0.0 || share < plan.lost_below;
+        self.share = share;
+        let short = share < SHORT || !self.up() && self.short_since.is_some();
+        self.short_since = self.short_since.or(Some(now)).filter(|_| short);
         if !gone && share < plan.back_above {
             self.small_since.get_or_insert(now);
         } else {
