--- a/crates/sites/src/site.rs
+++ b/crates/sites/src/site.rs
@@ -180,7 +180,11 @@
         // A fleet that is made smaller for good is the usual one after a while.
         let kept = self.usual * 0.5f64.powf(passed / plan.usual_half as f64);
         self.usual = kept.max(listed).max(usable);
-        let share = if self.usual > 0.0 { usable / self.usual } else { 0.0 };
+        // Nothing has ever been heard of it: guards against a first start that takes all sites for lost.
+        if self.usual <= 0.0 {
+            return None;
+        }
+        let share = usable / self.usual;
         let gone = usable <= 0.0 || share < plan.lost_below;
         self.share = share;
         let short = share < SHORT || !self.up() && self.short_since.is_some();
--- a/crates/sites/tests/sites.rs
+++ b/crates/sites/tests/sites.rs
@@ -372,6 +372,17 @@
     assert!(matches!(relay.ask(START + S, None), Verdict::Within(reach) if reach.holds(Some(ZoneId(2)))));
 }
 
+#[test]
+fn a_first_start_without_any_roll_takes_no_site_for_lost() {
+    let mut relay = sites(2, plan(), 3);
+    let mut out = Vec::new();
+    relay.take_list(START, &ListUpdate::Cached(Arc::new(Vec::new())), &mut out);
+    relay.tick(START + S, &mut out);
+    relay.take_list(START + 2 * S, &ListUpdate::Full(Arc::new(whole())), &mut out);
+    assert!(matches!(relay.standing(ZoneId(2)), Some(Standing::Up { .. })));
+    assert!(out.is_empty(), "{out:?}");
+}
+
 #[test]
 fn a_receiving_site_puts_its_own_clients_first() {
     let mut world = World::new(&plan());
