What a relay counts, and the formats of Graphite and collectd, as a room without sockets

Need: operators want to see which relay refuses connections and why, in the Graphite and collectd that they run.

Change: crates/gauges holds the table of names, a book of totals, gauges and HDR histograms with a cap on open tags, and the formats: Graphite's plaintext and pickle with nodes or tags, collectd's binary protocol unsigned, signed and encrypted, with the reader that a stand-in needs, and its text protocol. Written by the published protocols, each named in its module.

--- /dev/null
+++ b/crates/gauges/src/book.rs
@@ -0,0 +1,179 @@
+//! Totals, gauges and histograms.
+
+use std::collections::BTreeMap;
+
+use hdrhistogram::Histogram;
+
+use crate::names::{Family, Kind, NAMES};
+
+/// The largest value of a histogram: an hour, in microseconds. Larger ones count as this.
+const LARGEST: u64 = 3_600_000_000;
+/// Significant digits of histograms: a quantile is off by 1% at most.
+const DIGITS: u8 = 2;
+/// The quantiles that are told, with the words that name them.
+pub const QUANTILES: [(&str, f64); 4] = [("p50", 0.5), ("p90", 0.9), ("p99", 0.99), ("p999", 0.999)];
+/// What the tag says of all series beyond the cap.
+pub const OTHERS: &str = "others";
+
+/// What a family's series holds.
+#[derive(Clone, Debug)]
+enum Cell {
+    Total(u64),
+    Gauge(f64),
+    Histogram(Box<Histogram<u64>>),
+}
+
+/// A value at a point in time.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Value {
+    /// A total.
+    Total(u64),
+    /// A value now.
+    Gauge(f64),
+}
+
+/// One series at a point in time.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Point {
+    /// The family's name.
+    pub name: &'static str,
+    /// The statistic of a histogram (`count`, `p50` ... `max`); empty elsewhere.
+    pub part: &'static str,
+    /// The tag's name and value; none where the family has one series.
+    pub tag: Option<(&'static str, String)>,
+    /// What it held.
+    pub value: Value,
+}
+
+/// All series at a point in time.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Reading {
+    /// Unix microseconds.
+    pub at: u64,
+    /// The points, by family.
+    pub points: Vec<Point>,
+}
+
+/// What a relay counts.
+///
+/// Families whose tag values are stated in the table have their cells from the start. Others, by site, take a cell
+/// for each new value up to a cap; what comes beyond it is summed under [`OTHERS`], which memory and sinks are bounded by.
+#[derive(Clone, Debug)]
+pub struct Book {
+    fixed: Vec<Vec<Cell>>,
+    open: BTreeMap<(usize, String), Cell>,
+    cap: usize,
+}
+
+fn cell(kind: Kind) -> Cell {
+    match kind {
+        Kind::Total => Cell::Total(0),
+        Kind::Gauge => Cell::Gauge(0.0),
+        // The bounds are constants, and sound.
+        Kind::Histogram => {
+            Cell::Histogram(Box::new(Histogram::new_with_bounds(1, LARGEST, DIGITS).expect("sound bounds")))
+        }
+    }
+}
+
+impl Book {
+    /// An empty book with so many values, at the most, for each tag that is open.
+    pub fn new(cap: usize) -> Book {
+        let fixed = NAMES.iter().map(|name| match (name.tag, name.values.len()) {
+            ("", _) => vec![cell(name.kind)],
+            (_, count) => (0..count).map(|_| cell(name.kind)).collect(),
+        });
+        Book { fixed: fixed.collect(), open: BTreeMap::new(), cap }
+    }
+
+    fn cell(&mut self, family: Family, place: usize) -> Option<&mut Cell> {
+        self.fixed.get_mut(family as usize)?.get_mut(place)
+    }
+
+    /// Adds to a total. `place` is the tag value's place in the table, 0 where there is no tag; one that is not there
+    /// counts nothing.
+    pub fn add(&mut self, family: Family, place: usize, count: u64) {
+        if let Some(Cell::Total(total)) = self.cell(family, place) {
+            *total = total.saturating_add(count);
+        }
+    }
+
+    /// Adds one to the total whose tag has this value.
+    pub fn count(&mut self, family: Family, value: &str) {
+        if let Some(place) = family.name().values.iter().position(|v| *v == value) {
+            self.add(family, place, 1);
+        }
+    }
+
+    /// Adds to a total of an open tag.
+    pub fn add_open(&mut self, family: Family, value: &str, count: u64) {
+        let key = (family as usize, value.to_owned());
+        if let Some(Cell::Total(total)) = self.open.get_mut(&key) {
+            *total = total.saturating_add(count);
+            return;
+        }
+        let there = self.open.range((key.0, String::new())..(key.0 + 1, String::new())).count();
+        let key = if there < self.cap { key } else { (key.0, OTHERS.to_owned()) };
+        let kept = self.open.entry(key).or_insert(Cell::Total(0));
+        if let Cell::Total(total) = kept {
+            *total = total.saturating_add(count);
+        }
+    }
+
+    /// Sets a gauge.
+    pub fn set(&mut self, family: Family, value: f64) {
+        if let Some(Cell::Gauge(gauge)) = self.cell(family, 0) {
+            *gauge = value;
+        }
+    }
+
+    /// Records a span in microseconds.
+    pub fn record(&mut self, family: Family, us: u64) {
+        if let Some(Cell::Histogram(histogram)) = self.cell(family, 0) {
+            histogram.saturating_record(us);
+        }
+    }
+
+    /// A total, for tests and reports.
+    pub fn total(&self, family: Family, place: usize) -> u64 {
+        match self.fixed.get(family as usize).and_then(|cells| cells.get(place)) {
+            Some(Cell::Total(total)) => *total,
+            _ => 0,
+        }
+    }
+
+    /// What it holds now. A histogram is told by its count, a total, and by quantiles of all that it has held; one that
+    /// is empty has none.
+    pub fn read(&self, at: u64) -> Reading {
+        let mut points = Vec::new();
+        for (family, cells) in self.fixed.iter().enumerate() {
+            let name = &NAMES[family];
+            for (place, cell) in cells.iter().enumerate() {
+                let tag = name.values.get(place).map(|value| (name.tag, (*value).to_owned()));
+                push(&mut points, name.name, tag, cell);
+            }
+        }
+        for ((family, value), cell) in &self.open {
+            let name = &NAMES[*family];
+            push(&mut points, name.name, Some((name.tag, value.clone())), cell);
+        }
+        Reading { at, points }
+    }
+}
+
+fn push(points: &mut Vec<Point>, name: &'static str, tag: Option<(&'static str, String)>, cell: &Cell) {
+    let mut point = |part, value| points.push(Point { name, part, tag: tag.clone(), value });
+    match cell {
+        Cell::Total(total) => point("", Value::Total(*total)),
+        Cell::Gauge(gauge) => point("", Value::Gauge(*gauge)),
+        Cell::Histogram(h) => {
+            point("count", Value::Total(h.len()));
+            if !h.is_empty() {
+                QUANTILES
+                    .iter()
+                    .for_each(|(part, q)| point(part, Value::Gauge(h.value_at_quantile(*q) as f64)));
+                point("max", Value::Gauge(h.max() as f64));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gauges/src/lib.rs
@@ -0,0 +1,13 @@
+#![forbid(unsafe_code)]
+//! What a relay counts, and how that is told to Graphite and collectd.
+//!
+//! [`Book`] holds totals, gauges and histograms; the relay's thread adds to it by plain calls that allocate nothing
+//! once a series exists. A [`Reading`] is what it held at a point in time. [`graphite`] and [`collectd`] turn readings
+//! into bytes by the published formats. Nothing here opens a socket, reads a clock or a file.
+
+pub mod book;
+pub mod collectd;
+pub mod graphite;
+pub mod names;
+
+pub use book::{Book, Point, Reading, Value};
