--- a/crates/sites/src/lib.rs
+++ b/crates/sites/src/lib.rs
@@ -57,6 +57,8 @@
 const STAYS: Micros = 2_000_000;
 /// If more than this part of all capacity seems silent, the fault is this relay's own.
 const BLIND: f64 = 0.67;
+/// The mean load of a session is that of about so many.
+const TOLD_MOST: u32 = 200;
 /// Newcomers let in of late fade over this; their rate spreads those who are turned away.
 const RATE_TIME: f64 = 3e6;
 
@@ -192,8 +194,8 @@
     hearsay: bool,
     blind: bool,
     claims: Claims,
-    /// The mean load that sessions tell, in the card servers' own unit.
-    mean_told: Option<f64>,
+    /// The mean load that sessions have told, in the card servers' own unit, and how many times they have.
+    told: (f64, u32),
 }
 
 impl Sites {
@@ -239,7 +241,7 @@
             hearsay: true,
             blind: false,
             claims: Claims::default(),
-            mean_told: None,
+            told: (0.0, 0),
             plan,
             names,
             home,
@@ -392,8 +394,10 @@
         if !load.is_finite() || load < 0.0 {
             return;
         }
-        let mean = self.mean_told.map_or(load, |mean| mean + (load - mean) * 0.02);
-        self.mean_told = Some(mean);
+        // Guards against a first session of unusual load that all others would be measured by for long.
+        let count = (self.told.1 + 1).min(TOLD_MOST);
+        let mean = self.told.0 + (load - self.told.0) / f64::from(count);
+        self.told = (mean, count);
         if mean > 0.0 {
             self.book.load(id, (load / mean).clamp(0.1, 10.0));
         }
