The relay counts, and sends its counts to Graphite and collectd beside its work

Change: plain calls count where things happen; a task a sink reads the book at its interval and sends it, with a queue bounded in bytes, backoff with jitter, a link given up after 30 s without progress, and one descriptor from the relay's count. deploy/metrics.conf says which sinks; key files that others may use are refused. Graphite gets growth under a second of its own, as a total would fall with the relay and two points of one second would lose one; collectd gets derives. The laboratory's decks now grow with its clients, some 45 sessions a deck, as the deployment's do.

--- a/crates/gauges/src/book.rs
+++ b/crates/gauges/src/book.rs
@@ -76,6 +76,29 @@
     }
 }
 
+impl Reading {
+    /// The same with each total as what it has grown by since an earlier reading of the same life.
+    ///
+    /// Where a relay's totals die with it, a receiver of these counts can neither see a fall nor take a total for new
+    /// traffic; what it must not do is miss a reading, so they are kept until they are sent.
+    pub fn since(&self, earlier: Option<&Reading>) -> Reading {
+        let key = |p: &Point| (p.name, p.part, p.tag.as_ref().map(|(_, value)| value.clone()));
+        let before: BTreeMap<_, u64> = earlier
+            .iter()
+            .flat_map(|r| &r.points)
+            .filter_map(|p| if let Value::Total(total) = p.value { Some((key(p), total)) } else { None })
+            .collect();
+        let grown = |p: &Point| match p.value {
+            Value::Total(total) => {
+                let was = before.get(&key(p)).copied().unwrap_or(0);
+                Point { value: Value::Total(total.saturating_sub(was)), ..p.clone() }
+            }
+            Value::Gauge(_) => p.clone(),
+        };
+        Reading { at: self.at, points: self.points.iter().map(grown).collect() }
+    }
+}
+
 impl Book {
     /// An empty book with so many values, at the most, for each tag that is open.
     pub fn new(cap: usize) -> Book {
--- a/crates/gauges/src/collectd.rs
+++ b/crates/gauges/src/collectd.rs
@@ -38,7 +38,7 @@
 pub const PLUGIN_NAME: &str = "honeyknot";
 
 /// How packets are protected.
-#[derive(Clone)]
+#[derive(Clone, PartialEq, Eq)]
 pub enum Security {
     /// They are not.
     None,
@@ -58,6 +58,17 @@
     },
 }
 
+impl std::fmt::Debug for Security {
+    /// Passwords stay out of logs.
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Security::None => f.write_str("None"),
+            Security::Sign { user, .. } => write!(f, "Sign({user})"),
+            Security::Encrypt { user, .. } => write!(f, "Encrypt({user})"),
+        }
+    }
+}
+
 impl Security {
     /// Bytes that protection adds to a packet.
     fn overhead(&self) -> usize {
--- a/crates/gauges/src/names.rs
+++ b/crates/gauges/src/names.rs
@@ -67,7 +67,6 @@
     Drains = "drains", Total, "card servers", "", [], "Drains of card servers that this relay was told of";
     Probes = "probes", Total, "probes", "outcome",
         ["ok", "error", "full", "timeout", "connect_failed", "reset", "cancelled", "moot"], "Probes by outcome";
-    ProbeBytes = "probe_bytes", Total, "bytes", "way", ["out", "in"], "Bytes of probes";
     Bytes = "bytes", Total, "bytes", "way", ["to_client", "to_server"], "Bytes of sessions that were passed on";
     RollFailures = "roll_failures", Total, "calls", "", [], "Calls to discovery that brought nothing";
     Dropped = "dropped_points", Total, "points", "", [], "Points that a sink never got";
--- a/crates/gauges/tests/formats.rs
+++ b/crates/gauges/tests/formats.rs
@@ -163,6 +163,43 @@
     assert_eq!(Family::LoopLag.name().name, "loop_lag");
 }
 
+#[test]
+fn the_operators_table_is_the_codes() {
+    let page = include_str!("../../../docs/operate/metrics.md");
+    let told: Vec<&str> = page.lines().skip_while(|l| !l.starts_with("| name | kind")).skip(2).collect();
+    let row = |name: &honeyknot_gauges::names::Name| {
+        let values: Vec<String> = name.values.iter().map(|v| format!("`{v}`")).collect();
+        let kind = format!("{:?}", name.kind).to_lowercase();
+        format!(
+            "| `{}` | {kind} | {} | {} | {} | {} |",
+            name.name,
+            name.unit,
+            name.tag,
+            values.join(", "),
+            name.help
+        )
+    };
+    let code: Vec<String> = NAMES.iter().map(row).collect();
+    assert_eq!(told, code);
+}
+
+#[test]
+fn counts_since_a_reading_add_up_to_the_totals() {
+    let mut book = Book::new(3);
+    book.add(Family::Served, 0, 5);
+    let first = book.read(1);
+    book.add(Family::Served, 0, 2);
+    book.add_open(Family::Placed, "tema", 1);
+    let second = book.read(2);
+    let grown = |later: &Reading, earlier: Option<&Reading>, name: &str| {
+        let point = later.since(earlier).points.into_iter().find(|p| p.name == name);
+        point.map(|p| p.value)
+    };
+    assert_eq!(grown(&first, None, "served"), Some(Value::Total(5)));
+    assert_eq!(grown(&second, Some(&first), "served"), Some(Value::Total(2)));
+    assert_eq!(grown(&second, Some(&first), "placed"), Some(Value::Total(1)));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 500, failure_persistence: None,
         rng_seed: proptest::test_runner::RngSeed::Fixed(7), ..ProptestConfig::default() })]
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -128,7 +128,8 @@
             relays: usize::from(args.relays),
             rate: args.rate,
             life_s: 35.0,
-            decks: 12 * u64::from(args.servers) / 16 + 1,
+            // Some 45 sessions share a deck.
+            decks: ((args.rate * 35.0 / 45.0) as u64).max(2),
         },
         scenario,
         seed: args.seed,
--- a/src/relay/config.rs
+++ b/src/relay/config.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
+use honeyknot_gauges as gauges;
 use honeyknot_sites::Plan;
 use serde_json::Value;
 
@@ -19,12 +20,37 @@
     std::env::var(name).ok().filter(|v| !v.is_empty())
 }
 
+/// The largest key file that is read.
+const KEY_FILE: u64 = 4096;
+
+/// Reads a key file: one line, `USER: PASSWORD`, that nobody but its owner may read.
+fn secret(path: &str) -> Result<(String, String), String> {
+    use std::os::unix::fs::PermissionsExt;
+    let about = std::fs::metadata(path).map_err(|e| e.to_string())?;
+    if about.permissions().mode() & 0o077 != 0 {
+        return Err("others than its owner may use the key file; set its mode to 0600".into());
+    }
+    if !about.is_file() || about.len() > KEY_FILE {
+        return Err(format!("not a file of at most {KEY_FILE} bytes"));
+    }
+    let text = std::fs::read_to_string(path).map_err(|e| e.to_string())?;
+    let words = text.trim().split_once(':').map(|(user, password)| (user.trim(), password.trim()));
+    let sound = |(user, password): &(&str, &str)| {
+        (1..=128).contains(&user.len()) && !password.is_empty() && !password.contains('\n')
+    };
+    let (user, password) = words.filter(sound).ok_or("a key file is one line: USER: PASSWORD")?;
+    Ok((user.to_owned(), password.to_owned()))
+}
+
 /// Files by which operators switch on what the platform's configuration does not speak of.
 #[derive(Clone, Debug, Default, clap::Args)]
 pub struct OperatorFiles {
     /// Tiers of sites, the limit on spill and the way back: an operator file such as deploy/sites.conf.
     #[arg(long, value_name = "FILE", env = "HONEYKNOT_SITES")]
     pub sites: Option<PathBuf>,
+    /// Sinks of metrics: an operator file such as deploy/metrics.conf.
+    #[arg(long, value_name = "FILE", env = "HONEYKNOT_METRICS")]
+    pub metrics: Option<PathBuf>,
 }
 
 /// A relay's configuration.
@@ -47,6 +73,8 @@
     pub names: Names,
     /// The operators' plan for losing and regaining sites; none where it is not switched on.
     pub sites: Option<Plan>,
+    /// The operators' sinks of metrics; none where they are not switched on.
+    pub metrics: Option<gauges::Plan>,
 }
 
 impl Config {
@@ -71,6 +99,11 @@
             let plan = Plan::read(&file.display().to_string(), &text, config.names.zones());
             config.sites = Some(plan.map_err(|faults| faults.to_string())?);
         }
+        if let Some(file) = &files.metrics {
+            let text = std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?;
+            let plan = gauges::Plan::read(&file.display().to_string(), &text, secret);
+            config.metrics = Some(plan.map_err(|faults| faults.to_string())?);
+        }
         Ok(config)
     }
 
@@ -104,6 +137,7 @@
             settings,
             names,
             sites: None,
+            metrics: None,
         })
     }
 }
--- /dev/null
+++ b/src/relay/meter.rs
@@ -0,0 +1,104 @@
+//! What the relay counts: plain calls from where things happen into its [`Book`], if there is one.
+
+use honeyknot_gauges::{Book, Family, Reading};
+
+use super::Relay;
+use crate::interface::*;
+
+/// The tag's value of an outcome.
+fn outcome_word(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::Ok => "served",
+        Outcome::Error => "error",
+        Outcome::Full => "full",
+        Outcome::Timeout => "timeout",
+        Outcome::ConnectFailed => "connect_failed",
+        Outcome::Reset => "reset",
+        Outcome::Cancelled => "cancelled",
+        Outcome::Moot => "moot",
+    }
+}
+
+impl Relay {
+    /// Counts something, where metrics are on.
+    pub(super) fn meter(&mut self, count: impl FnOnce(&mut Book)) {
+        if let Some(book) = &mut self.book {
+            count(book);
+        }
+    }
+
+    /// A request was answered `BUSY`, for one of the reasons in the table of names.
+    pub fn meter_refused(&mut self, reason: &'static str, took: Option<Micros>) {
+        self.meter(|book| {
+            book.count(Family::Refused, reason);
+            took.iter().for_each(|us| book.record(Family::Refusal, *us));
+        });
+    }
+
+    /// A request was answered `ERR`, for one of the causes in the table of names.
+    pub fn meter_failed(&mut self, cause: &'static str) {
+        self.meter(|book| book.count(Family::Failed, cause));
+    }
+
+    pub(super) fn meter_placed(&mut self, attempt: AttemptId, server: &ServerId) {
+        let site = self.zones.get(server).and_then(|zone| self.names.zones().get(zone.0)).cloned();
+        self.meter(|book| {
+            book.add(Family::Retries, 0, u64::from(attempt.0 > 0));
+            book.add_open(Family::Placed, site.as_deref().unwrap_or("none"), 1);
+        });
+    }
+
+    pub(super) fn meter_stands(&mut self, took: Micros) {
+        self.meter(|book| {
+            book.count(Family::Attempts, "up");
+            book.add(Family::Served, 0, 1);
+            book.record(Family::Setup, took);
+        });
+    }
+
+    /// An attempt has ended without a session.
+    pub(super) fn meter_attempt(&mut self, outcome: Outcome) {
+        self.meter(|book| book.count(Family::Attempts, outcome_word(outcome)));
+    }
+
+    /// A session that stood has ended, in one of the ways in the table of names.
+    pub fn meter_ended(&mut self, how: &'static str) {
+        self.meter(|book| book.count(Family::Ended, how));
+    }
+
+    /// Bytes of a session were passed on, to its client or to its card server.
+    pub fn meter_bytes(&mut self, to_client: bool, count: usize) {
+        self.meter(|book| book.add(Family::Bytes, usize::from(!to_client), count as u64));
+    }
+
+    /// A session was moved as its card server said nothing any more.
+    pub fn meter_moved_silent(&mut self) {
+        self.meter(|book| book.count(Family::Moves, "silent"));
+    }
+
+    pub(super) fn meter_probed(&mut self, outcome: Outcome, took: Micros) {
+        let word = if outcome == Outcome::Ok { "ok" } else { outcome_word(outcome) };
+        self.meter(|book| {
+            book.count(Family::Probes, word);
+            book.record(Family::Probe, took);
+        });
+    }
+
+    /// What the book holds now, with the gauges of this moment; none where metrics are off.
+    pub fn reading(&mut self) -> Option<Reading> {
+        let now = self.timers.clock.now();
+        let (standing, asking) = self.open();
+        let (descriptors, crowd, version) = (self.descriptors.get(), self.crowd.len(), self.version);
+        let (started, heard) = (self.born, self.roll_heard);
+        let book = self.book.as_mut()?;
+        let mut set = |family, value: f64| book.set(family, value);
+        set(Family::Sessions, standing.len() as f64);
+        set(Family::Asking, asking as f64);
+        set(Family::Descriptors, descriptors as f64);
+        set(Family::Crowd, crowd as f64);
+        set(Family::RollVersion, version as f64);
+        set(Family::RollAge, now.saturating_sub(heard) as f64 / 1e6);
+        set(Family::Started, (started / 1_000_000) as f64);
+        Some(book.read(now))
+    }
+}
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -8,21 +8,25 @@
 pub mod crowd;
 mod delays;
 pub mod lines;
+mod meter;
 pub mod probe;
 pub mod reload;
 pub mod roll;
 pub mod session;
 pub mod shutdown;
+mod sinks;
 mod sites;
 pub mod wheel;
 
 use std::cell::{Cell, RefCell};
+use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 use std::sync::Arc;
 use std::time::Duration;
 
+use honeyknot_gauges::{Book, Family};
 use honeyknot_sites::{Sites, Verdict};
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
@@ -96,6 +100,7 @@
     out: Option<(AttemptId, ServerId, Micros)>,
     stands: bool,
     deck: Option<GroupKey>,
+    asked: Micros,
 }
 
 /// A descriptor in the count; dropping it gives it back.
@@ -147,6 +152,12 @@
     delays: Delays,
     /// Losing and regaining sites, where the operators have switched it on.
     sites: Option<Sites>,
+    /// What is counted, where the operators have named sinks.
+    book: Option<Book>,
+    /// The sites of the card servers.
+    zones: BTreeMap<ServerId, ZoneId>,
+    /// When discovery last answered.
+    roll_heard: Micros,
     asks: UnboundedSender<Ask>,
     roll_trouble: bool,
     events: VecDeque<Event>,
@@ -184,6 +195,9 @@
                 delays: Delays::new(&settings),
                 settings,
                 sites,
+                book: config.metrics.as_ref().map(|plan| Book::new(plan.cap)),
+                zones: BTreeMap::new(),
+                roll_heard: born,
                 asks,
                 roll_trouble: false,
                 events: VecDeque::new(),
@@ -231,6 +245,7 @@
         if std::mem::take(&mut self.roll_trouble) {
             info!(target: "roll", version = news.version, "discovery answers again");
         }
+        self.roll_heard = self.timers.clock.now();
         let whole = news.whole;
         let entries = self.note_roll(news);
         let update = if whole { ListUpdate::Full(entries) } else { ListUpdate::Delta(entries) };
@@ -240,14 +255,18 @@
 
     fn note_roll(&mut self, news: RollNews) -> Arc<Vec<ServerEntry>> {
         let now = self.timers.clock.now();
+        let mut drains = 0;
         self.version = news.version;
         for entry in &news.entries {
+            self.zones.extend(entry.zone.map(|zone| (entry.server.clone(), zone)));
             if entry.state == ServerState::Ready {
                 self.leaving.remove(&entry.server);
-            } else {
-                self.leaving.entry(entry.server.clone()).or_insert(now);
+            } else if let Entry::Vacant(leaving) = self.leaving.entry(entry.server.clone()) {
+                leaving.insert(now);
+                drains += u64::from(entry.state == ServerState::Draining);
             }
         }
+        self.meter(|book| book.add(Family::Drains, 0, drains));
         if news.whole {
             let named = |id: &ServerId| news.entries.iter().any(|e| e.server == *id);
             let lost: Vec<ServerId> = self.addresses.keys().filter(|id| !named(id)).cloned().collect();
@@ -267,6 +286,7 @@
         if !std::mem::replace(&mut self.roll_trouble, true) {
             warn!(target: "roll", why, "discovery does not answer");
         }
+        self.meter(|book| book.add(Family::RollFailures, 0, 1));
         self.feed(Event::Servers { version: self.version, update: ListUpdate::Failed });
     }
 
@@ -287,13 +307,17 @@
     pub fn ask(&mut self, head: &SessionHead) -> Option<(RequestId, UnboundedReceiver<Order>)> {
         let mut request = self.request(head)?;
         let seat = self.seat(&request);
+        self.meter(|book| book.add(Family::Requests, 0, 1));
         match self.site_verdict(&request) {
             Verdict::Within(reach) => {
                 request.reach = reach;
                 self.feed(Event::Request(request));
             }
             // The decisions never hear of it: there is nothing to choose.
-            Verdict::Refuse(away) => self.order(request.id, Order::Refuse(away)),
+            Verdict::Refuse(away) => {
+                self.meter_refused("site_limit", Some(0));
+                self.order(request.id, Order::Refuse(away));
+            }
         }
         Some(seat)
     }
@@ -316,9 +340,10 @@
 
     fn seat(&mut self, request: &Request) -> (RequestId, UnboundedReceiver<Order>) {
         let (orders, queue) = unbounded_channel();
-        let deadline = self.timers.clock.now().saturating_add(request.time_left);
+        let asked = self.timers.clock.now();
+        let deadline = asked.saturating_add(request.time_left);
         let deck = request.group.clone();
-        let seat = Seat { orders, attempts: 0, deadline, out: None, stands: false, deck };
+        let seat = Seat { orders, attempts: 0, deadline, out: None, stands: false, deck, asked };
         self.seats.insert(request.id, seat);
         (request.id, queue)
     }
@@ -347,6 +372,9 @@
         let Some(seat) = self.seats.get_mut(&id) else { return };
         seat.stands = true;
         let Some((attempt, server, sent)) = seat.out.clone() else { return };
+        let asked = seat.asked;
+        let took = self.timers.clock.now().saturating_sub(asked);
+        self.meter_stands(took);
         let elapsed = self.timers.clock.now().saturating_sub(sent);
         self.site_stands(id, &server);
         self.feed(Event::Established { id, attempt, server, elapsed });
@@ -360,6 +388,10 @@
             return;
         };
         let elapsed = self.timers.clock.now().saturating_sub(sent);
+        let stood = self.seats.get(&id).is_some_and(|s| s.stands);
+        if !stood {
+            self.meter_attempt(outcome);
+        }
         self.site_ended(id, &server, outcome);
         self.feed(Event::Outcome { id, attempt, outcome, closed, server, elapsed, report });
     }
@@ -389,6 +421,7 @@
     pub fn message_took(&mut self, id: RequestId, took: Micros) {
         let at = self.seats.get(&id).and_then(|s| s.out.as_ref()).map(|(_, server, _)| server.clone());
         if let Some(server) = at {
+            self.meter(|book| book.record(Family::Message, took));
             self.delay_seen(server, took as f64 / 1e3, false);
         }
     }
@@ -440,6 +473,7 @@
         let load = report.as_ref().and_then(|r| r.load);
         self.delays.measured(self.timers.clock.now(), &server, load);
         self.site_probed(&server, outcome, load);
+        self.meter_probed(outcome, elapsed);
         let latency = report.as_ref().and_then(|r| r.latency_ms);
         self.feed(Event::Probed { server: server.clone(), outcome, elapsed, report });
         if let Some(ms) = latency {
@@ -452,9 +486,20 @@
     fn carry_out(&mut self, action: Action) {
         match action {
             Action::Place { id, server, timeout } => self.place(id, server, timeout),
-            Action::Refuse { id, retry_after } => self.order(id, Order::Refuse(retry_after)),
-            Action::Fail(id) => self.order(id, Order::Fail),
-            Action::Move(id) => self.order(id, Order::Move),
+            Action::Refuse { id, retry_after } => {
+                let asked = self.seats.get(&id).map(|s| s.asked);
+                let took = asked.map(|at| self.timers.clock.now().saturating_sub(at));
+                self.meter_refused("decisions", took);
+                self.order(id, Order::Refuse(retry_after));
+            }
+            Action::Fail(id) => {
+                self.meter_failed("decisions");
+                self.order(id, Order::Fail);
+            }
+            Action::Move(id) => {
+                self.meter(|book| book.count(Family::Moves, "decisions"));
+                self.order(id, Order::Move);
+            }
             Action::Cancel { id, attempt } => self.order(id, Order::Cancel(attempt)),
             Action::Probe(server) => self.errand(server, Errand::Look),
             Action::CloseIdle(server) => self.errand(server, Errand::Close),
@@ -483,6 +528,7 @@
                 let place = Placement { attempt, server: server.clone(), address, timeout };
                 let _ = seat.orders.send(Order::Place(place));
                 self.site_placed(id, &server);
+                self.meter_placed(attempt, &server);
                 return;
             }
         };
@@ -628,7 +674,11 @@
     listener: TcpListener, config: Config, stop: impl Future<Output = ()>, reloads: reload::Reloads,
 ) -> Result<(), String> {
     let (name, listen, discovery) = (config.name.clone(), config.listen, config.discovery);
+    let sinks = config.metrics.as_ref().map_or_else(Vec::new, |plan| plan.sinks.clone());
     let (relay, asks) = Relay::new(config)?;
+    for sink in sinks {
+        tokio::task::spawn_local(sinks::feed(relay.clone(), sink, name.clone()));
+    }
     tokio::task::spawn_local(roll::follow(relay.clone(), discovery, asks));
     tokio::task::spawn_local(turn_wheel(relay.clone()));
     tokio::task::spawn_local(tell_delays(relay.clone()));
@@ -654,7 +704,8 @@
     let mut ticks = tokio::time::interval(Duration::from_micros(wheel::TICK));
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
     loop {
-        ticks.tick().await;
+        let lag = ticks.tick().await.elapsed().as_micros() as Micros;
+        relay.borrow_mut().meter(|book| book.record(Family::LoopLag, lag));
         for alarm in timers.due() {
             match alarm {
                 Alarm::Wake(task) => task.wake(),
--- a/src/relay/session.rs
+++ b/src/relay/session.rs
@@ -56,6 +56,7 @@
         Ok(None) => {}
         Err(Malformed(why)) => {
             debug!(target: "client", why, "turned away");
+            relay.borrow_mut().meter_failed("malformed");
             side.farewell(FAILED).await;
         }
     }
@@ -211,6 +212,12 @@
     drop(place);
     let second = relay.borrow().hold_descriptor().filter(|_| relay.borrow().may_let_in());
     let Some(second) = second else {
+        let reason = match (relay.borrow().closing(), relay.borrow().may_let_in()) {
+            (true, _) => "closing",
+            (false, false) => "capacity",
+            (false, true) => "descriptors",
+        };
+        relay.borrow_mut().meter_refused(reason, None);
         let line = lines::busy(come_back(&relay));
         return client.farewell(&line).await;
     };
@@ -257,9 +264,9 @@
                 order = self.orders.recv() => order.unwrap_or(Order::Fail),
                 strayed = self.client.strays() => match strayed {
                     Strayed::Left => return,
-                    Strayed::Spoke => self.forgone(),
+                    Strayed::Spoke => self.forgone("spoke"),
                 },
-                () = &mut overdue => self.forgone(),
+                () = &mut overdue => self.forgone("late"),
             };
             match order {
                 Order::Place(place) => match self.attempt(&place).await {
@@ -285,8 +292,9 @@
     }
 
     /// The relay answers by itself; the decisions have nothing to answer any more.
-    fn forgone(&self) -> Order {
+    fn forgone(&self, cause: &'static str) -> Order {
         self.relay.borrow_mut().left(self.seat.id, false);
+        self.relay.borrow_mut().meter_failed(cause);
         Order::Fail
     }
 
@@ -321,7 +329,10 @@
                 },
                 strayed = self.client.strays() => return match strayed {
                     Strayed::Left => Came::Left,
-                    Strayed::Spoke => Came::Answered(Order::Fail),
+                    Strayed::Spoke => {
+                        self.relay.borrow_mut().meter_failed("spoke");
+                        Came::Answered(Order::Fail)
+                    }
                 },
             }
         }
@@ -526,6 +537,17 @@
         (Ending::Server { .. }, Last::Err) => Outcome::Error,
         (Ending::Server { .. }, Last::Other) => Outcome::Reset,
     };
+    let how = match (&ending, pump.last) {
+        (Ending::Client { .. }, _) => "client",
+        (Ending::Moved | Ending::Silent, _) => "moved",
+        (Ending::Server { .. }, Last::Bye) => "served",
+        (Ending::Server { reset: true }, _) => "reset",
+        (Ending::Server { reset: false }, _) => "server",
+    };
+    relay.borrow_mut().meter_ended(how);
+    if matches!(ending, Ending::Silent) {
+        relay.borrow_mut().meter_moved_silent();
+    }
     relay.borrow_mut().attempt_ended(seat.id, outcome, true, None);
     seat.answered = true;
     drop(seat);
@@ -642,6 +664,7 @@
         if let Some(load) = load {
             self.relay.borrow_mut().load_told(self.id, load);
         }
+        self.relay.borrow_mut().meter_bytes(true, bytes.len());
         self.to_client.unsplit(bytes);
     }
 
@@ -650,7 +673,8 @@
         let now = self.timers.clock.now();
         match self.client.try_read_buf(&mut self.to_server) {
             Ok(0) => self.client_end = Some((false, now)),
-            Ok(_) => {
+            Ok(count) => {
+                self.relay.borrow_mut().meter_bytes(false, count);
                 self.unanswered.get_or_insert(now);
             }
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
--- a/src/relay/shutdown.rs
+++ b/src/relay/shutdown.rs
@@ -2,6 +2,7 @@
 
 use std::future::Future;
 
+use honeyknot_gauges::Family;
 use tokio::signal::unix::{SignalKind, signal as listen_for};
 use tracing::info;
 
@@ -56,6 +57,7 @@
         }
         let due = due_now(standing.len(), (kill - MOVED_BEFORE).saturating_sub(now));
         for id in standing.into_iter().take(due) {
+            relay.borrow_mut().meter(|book| book.count(Family::Moves, "restart"));
             relay.borrow_mut().order(id, Order::Move);
         }
         if now >= kill - MOVED_BEFORE {
--- /dev/null
+++ b/src/relay/sinks.rs
@@ -0,0 +1,233 @@
+//! Sinks of metrics: each is a task that reads the book at its interval and sends what it must when its sink takes it.
+//!
+//! Nothing here can hold up the relay: what waits is bounded in bytes, the oldest makes room and is counted, and a
+//! write that the sink does not take is left until it does.
+
+use std::collections::VecDeque;
+use std::io;
+use std::net::{Ipv4Addr, Ipv6Addr, SocketAddr};
+use std::time::Duration;
+
+use honeyknot_gauges::plan::{Protocol, Sink};
+use honeyknot_gauges::{Family, Reading, collectd, graphite};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use tokio::net::{TcpStream, UdpSocket};
+use tokio::time::{Instant, MissedTickBehavior, interval_at, sleep_until, timeout};
+use tracing::{info, warn};
+
+use super::{Held, Shared};
+
+/// A sink that does not take a connection within this is down.
+const CONNECT: Duration = Duration::from_secs(3);
+/// First wait after a failure; it doubles up to 64 times this, and differs by half from sink to sink.
+const AGAIN: Duration = Duration::from_millis(250);
+/// A connection on which nothing has moved for this long, though something waits, is given up.
+const STALLED: Duration = Duration::from_secs(30);
+
+/// What waits for a sink: whole frames, bounded in bytes.
+struct Queue {
+    frames: VecDeque<(Vec<u8>, u64)>,
+    bytes: usize,
+    most: usize,
+    /// Bytes of the first frame that are written already.
+    written: usize,
+}
+
+impl Queue {
+    /// Adds a frame that holds so many points; how many points had to make room. Guards against a stream that is cut in
+    /// mid-frame: one that is half written stays, and the next oldest goes.
+    fn push(&mut self, frame: Vec<u8>, points: u64) -> u64 {
+        let mut dropped = 0;
+        while self.bytes + frame.len() > self.most {
+            let Some((old, points_there)) = self.frames.remove(usize::from(self.written > 0)) else {
+                return dropped + points;
+            };
+            self.bytes -= old.len();
+            dropped += points_there;
+        }
+        self.bytes += frame.len();
+        self.frames.push_back((frame, points));
+        dropped
+    }
+
+    /// The sink has taken so many bytes of the first frame.
+    fn wrote(&mut self, count: usize) {
+        self.written += count;
+        if self.frames.front().is_some_and(|(frame, _)| self.written >= frame.len()) {
+            self.written = 0;
+            self.bytes -= self.frames.pop_front().map_or(0, |(frame, _)| frame.len());
+        }
+    }
+}
+
+enum Line {
+    Tcp(TcpStream),
+    Udp(UdpSocket),
+}
+
+/// A sink's connection, and when it may be tried again.
+struct Link {
+    line: Option<(Line, Option<Held>)>,
+    failures: u32,
+    next: Instant,
+    /// When the sink last took anything.
+    moved: Instant,
+    rng: StdRng,
+}
+
+impl Link {
+    fn failed(&mut self, sink: &Sink, why: &io::Error) {
+        if self.failures == 0 {
+            warn!(target: "metrics", sink = sink.name, %why, "the sink takes no data");
+        }
+        let wait = AGAIN * (1 << self.failures.min(6));
+        self.failures = self.failures.saturating_add(1);
+        // Relays must not come back to a sink in step.
+        self.next = Instant::now() + wait.mul_f64(self.rng.random_range(0.5..1.5));
+        self.line = None;
+    }
+
+    fn stands(&mut self, sink: &Sink, line: Line, held: Option<Held>) {
+        if std::mem::take(&mut self.failures) > 0 {
+            info!(target: "metrics", sink = sink.name, "the sink is reached again");
+        }
+        (self.line, self.moved) = (Some((line, held)), Instant::now());
+    }
+}
+
+/// Feeds a sink until the relay ends.
+pub async fn feed(relay: Shared, sink: Sink, name: String) {
+    let mut ticks = interval_at(Instant::now() + sink.interval, sink.interval);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
+    let mut queue = Queue { frames: VecDeque::new(), bytes: 0, most: sink.buffer as usize, written: 0 };
+    let mut before: Option<Reading> = None;
+    // Guards against a second that the life before this one has told already.
+    let mut second = relay.borrow().timers.clock.now() / 1_000_000 + 1;
+    let now = Instant::now();
+    let Ok(rng) = StdRng::try_from_os_rng() else { return };
+    let mut link = Link { line: None, failures: 0, next: now, moved: now, rng };
+    loop {
+        let waits = !queue.frames.is_empty();
+        tokio::select! {
+            biased;
+            _ = ticks.tick() => {
+                let Some(reading) = relay.borrow_mut().reading() else { return };
+                let told = match sink.protocol {
+                    Protocol::Collectd(_) => reading.clone(),
+                    Protocol::GraphiteLines(_) | Protocol::GraphitePickle(_) => told_at(&reading, &mut second),
+                };
+                let frames = encode(&sink, &name, &told, before.as_ref(), &mut link.rng);
+                let dropped = frames.into_iter().map(|(frame, points)| queue.push(frame, points)).sum();
+                before = Some(reading);
+                relay.borrow_mut().meter(|book| book.add(Family::Dropped, 0, dropped));
+                if !waits {
+                    link.moved = Instant::now();
+                }
+            }
+            () = sleep_until(link.next), if waits && link.line.is_none() => {
+                let held = relay.borrow().hold_descriptor();
+                let dialled = match held.is_some() {
+                    true => dial(&sink).await,
+                    false => Err(io::Error::other("no descriptor to spare")),
+                };
+                match dialled {
+                    Ok(line) => link.stands(&sink, line, held),
+                    Err(e) => link.failed(&sink, &e),
+                }
+            }
+            wrote = write(link.line.as_ref(), &queue), if waits && link.line.is_some() => match wrote {
+                Ok(count) => {
+                    link.moved = Instant::now();
+                    queue.wrote(count);
+                }
+                // The frame goes again as a whole: Graphite keeps one value for a path and a time.
+                Err(e) => {
+                    queue.written = 0;
+                    link.failed(&sink, &e);
+                }
+            },
+            () = sleep_until(link.moved + STALLED), if waits && link.line.is_some() => {
+                queue.written = 0;
+                link.failed(&sink, &io::Error::other("it takes nothing"));
+            }
+        }
+    }
+}
+
+/// A reading under a second of its own. Guards against two that fall within one second, as ticks come a little early or
+/// late: a store that keeps one point a second would lose the first one's counts.
+fn told_at(reading: &Reading, second: &mut u64) -> Reading {
+    *second = (reading.at / 1_000_000).max(*second + 1);
+    Reading { at: reading.at.max(*second * 1_000_000), points: reading.points.clone() }
+}
+
+async fn dial(sink: &Sink) -> io::Result<Line> {
+    match sink.protocol {
+        Protocol::GraphiteLines(_) | Protocol::GraphitePickle(_) => {
+            let late = |_| io::Error::other("no connection in time");
+            Ok(Line::Tcp(timeout(CONNECT, TcpStream::connect(sink.address)).await.map_err(late)??))
+        }
+        Protocol::Collectd(_) => {
+            let any: SocketAddr = match sink.address.is_ipv4() {
+                true => (Ipv4Addr::UNSPECIFIED, 0).into(),
+                false => (Ipv6Addr::UNSPECIFIED, 0).into(),
+            };
+            let socket = UdpSocket::bind(any).await?;
+            socket.connect(sink.address).await?;
+            Ok(Line::Udp(socket))
+        }
+    }
+}
+
+/// Writes what the sink takes now of the first frame; waits until it takes anything.
+async fn write(line: Option<&(Line, Option<Held>)>, queue: &Queue) -> io::Result<usize> {
+    let (Some((line, _)), Some((frame, _))) = (line, queue.frames.front()) else {
+        return std::future::pending().await;
+    };
+    loop {
+        let tried = match line {
+            Line::Tcp(stream) => {
+                stream.writable().await?;
+                stream.try_write(&frame[queue.written..])
+            }
+            Line::Udp(socket) => {
+                socket.writable().await?;
+                // A datagram is sent whole or not at all.
+                socket.try_send(frame).map(|_| frame.len())
+            }
+        };
+        match tried {
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+            Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+            tried => return tried,
+        }
+    }
+}
+
+/// A reading as frames, with the points that each holds. Graphite gets what totals grew by, as they die with the relay;
+/// collectd takes a total that starts anew for what it is, by its type.
+fn encode(
+    sink: &Sink, name: &str, reading: &Reading, before: Option<&Reading>, rng: &mut StdRng,
+) -> Vec<(Vec<u8>, u64)> {
+    let prefix = format!("{}.{}", sink.prefix, name.replace('.', "_"));
+    let points = reading.points.len() as u64;
+    match &sink.protocol {
+        Protocol::GraphiteLines(paths) => {
+            let text = graphite::lines(&prefix, &reading.since(before), *paths);
+            vec![(text.into_bytes(), points)]
+        }
+        Protocol::GraphitePickle(paths) => {
+            let frames = graphite::pickles(&prefix, &reading.since(before), *paths).unwrap_or_default();
+            let each = points / frames.len().max(1) as u64;
+            frames.into_iter().map(|frame| (frame, each)).collect()
+        }
+        Protocol::Collectd(security) => {
+            let mut iv = || rng.random();
+            let micros = sink.interval.as_micros() as u64;
+            let packets = collectd::packets(name, "relay", reading, micros, security, &mut iv);
+            let each = points / packets.len().max(1) as u64;
+            packets.into_iter().map(|packet| (packet, each)).collect()
+        }
+    }
+}
--- a/src/relay/sites.rs
+++ b/src/relay/sites.rs
@@ -1,5 +1,6 @@
 //! Between the relay and [`Sites`]: tells it what happens on the sockets and carries out what it wants.
 
+use honeyknot_gauges::Family;
 use honeyknot_sites::{Do, Plan, Setup, Sites, Verdict};
 use tracing::info;
 
@@ -42,7 +43,10 @@
         tell(sites, self.timers.clock.now(), &mut wants);
         for want in wants {
             match want {
-                Do::Move(id) => self.order(id, Order::Move),
+                Do::Move(id) => {
+                    self.meter(|book| book.count(Family::Moves, "site"));
+                    self.order(id, Order::Move);
+                }
                 Do::Ask(server) => self.errand(server, Errand::Look),
                 Do::Log(text) => info!(target: "site", "{text}"),
             }
--- /dev/null
+++ b/tests/process/mod.rs
@@ -0,0 +1,108 @@
+//! The relay's program as a process of a test.
+#![allow(dead_code)] // each test file uses a part
+
+use std::fs;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+
+/// A folder of this test's own, gone with it.
+pub struct Folder(pub PathBuf);
+
+impl Folder {
+    pub fn new(name: &str) -> Folder {
+        let path = std::env::temp_dir().join(format!("honeyknot-{name}-{}", std::process::id()));
+        fs::create_dir_all(&path).expect("a folder");
+        Folder(path)
+    }
+
+    pub fn write(&self, name: &str, text: &str) -> PathBuf {
+        let path = self.0.join(name);
+        fs::write(&path, text).expect("a file");
+        path
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.0);
+    }
+}
+
+/// A configuration with a discovery that is down, and two sites.
+pub fn config(listen: SocketAddr) -> String {
+    json!({
+        "name": "n0", "listen": listen.to_string(), "discovery": "127.0.0.1:1", "seed": "1f",
+        "limits": {"sockets": 128},
+        "settings": {
+            "family": "conn", "discovery": "on_request", "zone": "tema", "zones": ["tema", "kasoa"],
+            "services": [{"name": "study", "effect": "idempotent", "aimUs": 300000, "hardLimitUs": 1200000}],
+            "rules": {"startCapacity": 0.3, "coldUs": 9000000, "overloadFactor": 3.0}}})
+    .to_string()
+}
+
+pub fn honeyknot(config: &Path, words: &[&str]) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_honeyknot"));
+    command.args(words).env("EDGE_CONFIG", config);
+    for name in ["EDGE_NAME", "EDGE_LISTEN", "EDGE_DISCOVERY", "HONEYKNOT_SITES", "HONEYKNOT_LOG"] {
+        command.env_remove(name);
+    }
+    command
+}
+
+/// A relay's process, ended with the test.
+pub struct Relay {
+    pub child: Child,
+    pub log: PathBuf,
+}
+
+impl Relay {
+    /// Starts a relay, whose log is a file of that name in the folder, and waits until it serves.
+    pub fn start(folder: &Folder, config: &Path, log: &str, words: &[&str]) -> Relay {
+        let log = folder.0.join(log);
+        let mut command = honeyknot(config, &["serve", "--log-form", "json"]);
+        command.args(words).stderr(fs::File::create(&log).expect("a log")).stdout(Stdio::null());
+        let relay = Relay { child: command.spawn().expect("a relay"), log };
+        relay.logged("\"message\":\"serving\"");
+        relay
+    }
+
+    pub fn hang_up(&self) {
+        let sent = Command::new("kill").args(["-HUP", &self.child.id().to_string()]).status();
+        assert!(sent.expect("a signal").success());
+    }
+
+    /// Waits for a record of the log.
+    pub fn logged(&self, text: &str) {
+        let until = Instant::now() + Duration::from_secs(30);
+        while !fs::read_to_string(&self.log).is_ok_and(|log| log.contains(text)) {
+            assert!(Instant::now() < until, "no `{text}` in {:?}", fs::read_to_string(&self.log));
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// An address where nothing listens now.
+pub fn free() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port")
+}
+
+/// A relay's answer to a client's head.
+pub fn answer(relay: SocketAddr, head: &str) -> String {
+    let mut client = TcpStream::connect(relay).expect("a connection");
+    client.write_all(head.as_bytes()).expect("a write");
+    let mut line = String::new();
+    BufReader::new(client).read_line(&mut line).expect("a line");
+    line
+}
