--- a/crates/gauges/src/book.rs
+++ b/crates/gauges/src/book.rs
@@ -5,6 +5,7 @@
 use hdrhistogram::Histogram;
 
 use crate::names::{Family, Kind, NAMES};
+use crate::state::{Spread, State, Total};
 
 /// The largest value of a histogram: an hour, in microseconds. Larger ones count as this.
 const LARGEST: u64 = 3_600_000_000;
@@ -130,13 +131,19 @@
 
     /// Adds to a total of an open tag.
     pub fn add_open(&mut self, family: Family, value: &str, count: u64) {
-        let key = (family as usize, value.to_owned());
+        self.add_value(family as usize, value, count);
+    }
+
+    fn add_value(&mut self, family: usize, value: &str, count: u64) {
+        let key = (family, value.to_owned());
         if let Some(Cell::Total(total)) = self.open.get_mut(&key) {
             *total = total.saturating_add(count);
             return;
         }
-        let there = self.open.range((key.0, String::new())..(key.0 + 1, String::new())).count();
-        let key = if there < self.cap { key } else { (key.0, OTHERS.to_owned()) };
+        // The sum of the rest has a place of its own. Guards against a name that lasted being summed after a restart.
+        let all = self.open.range((family, String::new())..(family + 1, String::new()));
+        let there = all.filter(|((_, value), _)| value != OTHERS).count();
+        let key = if there < self.cap || value == OTHERS { key } else { (family, OTHERS.to_owned()) };
         let kept = self.open.entry(key).or_insert(Cell::Total(0));
         if let Cell::Total(total) = kept {
             *total = total.saturating_add(count);
@@ -157,6 +164,68 @@
         }
     }
 
+    /// All that lasts of it: totals and histograms.
+    pub fn state(&self, relay: &str, at: u64, lives: u64) -> State {
+        let mut state = State { relay: relay.to_owned(), at, lives, ..State::default() };
+        let fixed = self.fixed.iter().enumerate().flat_map(|(family, cells)| {
+            let name = &NAMES[family];
+            cells
+                .iter()
+                .enumerate()
+                .map(move |(i, cell)| (name, name.values.get(i).copied().unwrap_or(""), cell))
+        });
+        let open = self.open.iter().map(|((family, value), cell)| (&NAMES[*family], value.as_str(), cell));
+        for (name, value, cell) in fixed.chain(open) {
+            let name = name.name.to_owned();
+            match cell {
+                Cell::Total(0) | Cell::Gauge(_) => {}
+                Cell::Total(total) => {
+                    state.totals.push(Total { name, value: value.to_owned(), total: *total });
+                }
+                Cell::Histogram(h) => {
+                    let counts = h.iter_recorded().map(|v| (v.value_iterated_to(), v.count_at_value()));
+                    state.spreads.push(Spread { name, counts: counts.collect() });
+                }
+            }
+        }
+        state
+    }
+
+    /// Adds what an earlier life has counted. Names that this program does not know are passed over and counted.
+    pub fn restore(&mut self, state: &State) -> usize {
+        let family = |name: &str| NAMES.iter().position(|n| n.name == name);
+        let mut unknown = 0;
+        for total in &state.totals {
+            let Some(place) = family(&total.name) else {
+                unknown += 1;
+                continue;
+            };
+            let name = &NAMES[place];
+            let fixed = match name.tag {
+                "" => Some(0),
+                _ => name.values.iter().position(|v| *v == total.value),
+            };
+            match fixed {
+                Some(i) => {
+                    if let Some(Cell::Total(held)) = self.fixed[place].get_mut(i) {
+                        *held = held.saturating_add(total.total);
+                    }
+                }
+                None if name.values.is_empty() => self.add_value(place, &total.value, total.total),
+                None => unknown += 1,
+            }
+        }
+        for spread in &state.spreads {
+            let found = family(&spread.name).and_then(|place| self.fixed[place].first_mut());
+            let Some(Cell::Histogram(histogram)) = found else {
+                unknown += 1;
+                continue;
+            };
+            spread.counts.iter().for_each(|(value, count)| histogram.saturating_record_n(*value, *count));
+        }
+        unknown
+    }
+
     /// A total, for tests and reports.
     pub fn total(&self, family: Family, place: usize) -> u64 {
         match self.fixed.get(family as usize).and_then(|cells| cells.get(place)) {
--- a/crates/gauges/tests/formats.rs
+++ b/crates/gauges/tests/formats.rs
@@ -4,6 +4,7 @@
 use honeyknot_gauges::collectd::{PACKET, Security, Unread, packets, putvals, read};
 use honeyknot_gauges::graphite::{Paths, lines, pickles};
 use honeyknot_gauges::names::{Family, Kind, NAMES};
+use honeyknot_gauges::state::State;
 use honeyknot_gauges::{Book, collectd};
 use proptest::prelude::*;
 
@@ -200,6 +201,43 @@
     assert_eq!(grown(&second, Some(&first), "placed"), Some(Value::Total(1)));
 }
 
+fn counted() -> Book {
+    let mut book = Book::new(3);
+    book.count(Family::Refused, "closing");
+    book.add(Family::Served, 0, 1 << 40);
+    ["tema", "kasoa", "accra", "ho"].iter().for_each(|site| book.add_open(Family::Placed, site, 2));
+    (1..=5_000).for_each(|us| book.record(Family::Setup, us));
+    book
+}
+
+#[test]
+fn a_book_comes_back_from_its_snapshot_and_counts_on() {
+    let state = counted().state("n0", 7, 3);
+    let read = State::decode(&state.encode().expect("a snapshot")).expect("a sound snapshot");
+    assert_eq!(read, state);
+    let mut again = Book::new(3);
+    assert_eq!(again.restore(&read), 0);
+    assert_eq!(again.read(9).points, counted().read(9).points);
+    let mut known = state.clone();
+    known.totals[0].name = "no_such_name".to_owned();
+    assert_eq!(Book::new(3).restore(&known), 1);
+}
+
+#[test]
+fn a_snapshot_that_is_cut_or_has_any_bit_flipped_is_recognised() {
+    let bytes = counted().state("n0", 7, 3).encode().expect("a snapshot");
+    for cut in 0..bytes.len() {
+        assert!(State::decode(&bytes[..cut]).is_err(), "cut at {cut}");
+    }
+    for bit in 0..bytes.len() * 8 {
+        let mut torn = bytes.clone();
+        torn[bit / 8] ^= 1 << (bit % 8);
+        assert!(State::decode(&torn).is_err(), "bit {bit}");
+    }
+    let longer = [&bytes[..], &[0]].concat();
+    assert!(State::decode(&longer).is_err());
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 500, failure_persistence: None,
         rng_seed: proptest::test_runner::RngSeed::Fixed(7), ..ProptestConfig::default() })]
