Totals last over the relay's lives where a folder lasts

Need: a relay dies often; its totals must neither fall at a receiver nor count a session twice when it returns.

The folder is locked. Where it cannot be used the relay serves and counts without it; where it cannot be written sinks get nothing until it can.

A second relay on the folder serves and says so.

--- a/crates/gauges/src/plan.rs
+++ b/crates/gauges/src/plan.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::time::Duration;
 
 use honeyknot_conf::{Directive, Faults, Section, parse, units};
@@ -49,6 +50,8 @@
     pub sinks: Vec<Sink>,
     /// The most values of a tag that is open, such as sites.
     pub cap: usize,
+    /// A folder that lasts, in which totals are kept over the relay's lives; none where there is none.
+    pub state: Option<PathBuf>,
 }
 
 impl Plan {
@@ -61,6 +64,7 @@
         let faults = RefCell::default();
         let mut top = Section::file(file, &tree, &faults);
         let cap = top.value("series-cap", units::number(1..=100_000)).unwrap_or(256);
+        let state = top.value("state", units::text()).map(PathBuf::from);
         let mut sinks: Vec<Sink> = Vec::new();
         for directive in top.each("sink") {
             let Some(sink) = read_sink(&top, directive, &secret) else { continue };
@@ -73,7 +77,7 @@
             sinks.push(sink);
         }
         top.finish();
-        Section::faults(faults).map(|()| Plan { sinks, cap })
+        Section::faults(faults).map(|()| Plan { sinks, cap, state })
     }
 }
 
--- a/src/relay/meter.rs
+++ b/src/relay/meter.rs
@@ -1,8 +1,13 @@
 //! What the relay counts: plain calls from where things happen into its [`Book`], if there is one.
 
+use std::io;
+use std::path::Path;
+
 use honeyknot_gauges::{Book, Family, Reading};
+use tracing::{info, warn};
 
-use super::Relay;
+use super::lasting::Folder;
+use super::{Relay, Shared};
 use crate::interface::*;
 
 /// The tag's value of an outcome.
@@ -19,7 +24,73 @@
     }
 }
 
+/// What keeps the counts over the relay's lives.
+pub struct Lasting {
+    folder: Folder,
+    relay: String,
+    lives: u64,
+    /// All that was counted up to here is on disk.
+    saved: Micros,
+    trouble: bool,
+}
+
+/// Has all that was counted up to a time on disk before it returns; true if it is, or if nothing is to last.
+pub async fn save(relay: &Shared, upto: Micros) -> bool {
+    let (write, at) = {
+        let mut relay = relay.borrow_mut();
+        let now = relay.timers.clock.now();
+        let Relay { book, lasting, .. } = &mut *relay;
+        let (Some(book), Some(lasting)) = (book, lasting) else { return true };
+        if lasting.saved >= upto {
+            return true;
+        }
+        let bytes = book.state(&lasting.relay, now, lasting.lives).encode();
+        (bytes.map(|bytes| lasting.folder.write(bytes)).map_err(io::Error::other), now)
+    };
+    let wrote = match write {
+        Ok(write) => tokio::task::spawn_blocking(write).await.map_err(io::Error::other).flatten(),
+        Err(e) => Err(e),
+    };
+    let mut relay = relay.borrow_mut();
+    let Some(lasting) = &mut relay.lasting else { return true };
+    match &wrote {
+        Ok(()) => {
+            lasting.saved = lasting.saved.max(at);
+            if std::mem::take(&mut lasting.trouble) {
+                info!(target: "metrics", "counts can be kept again");
+            }
+        }
+        // Told once: a disk that is full stays so for long.
+        Err(why) => {
+            if !std::mem::replace(&mut lasting.trouble, true) {
+                warn!(target: "metrics", %why, "counts cannot be kept: sinks get nothing until they can");
+            }
+        }
+    }
+    wrote.is_ok()
+}
+
 impl Relay {
+    /// Takes up what earlier lives of this relay have counted. A folder that cannot be used is told of, and the counts
+    /// of this life then die with it.
+    pub(super) fn take_up_counts(&mut self, path: &Path, name: &str) {
+        match Folder::open(path, name) {
+            Ok((folder, state)) => {
+                let lives = state.as_ref().map_or(1, |s| s.lives + 1);
+                let unknown = state.map_or(0, |s| self.book.as_mut().map_or(0, |book| book.restore(&s)));
+                info!(target: "metrics", lives, unknown, "counts are kept");
+                let relay = name.to_owned();
+                self.lasting = Some(Lasting { folder, relay, lives, saved: 0, trouble: false });
+            }
+            Err(why) => warn!(target: "metrics", why, "counts will not outlast this relay"),
+        }
+    }
+
+    /// Whether totals last over the relay's lives.
+    pub fn counts_last(&self) -> bool {
+        self.lasting.is_some()
+    }
+
     /// Counts something, where metrics are on.
     pub(super) fn meter(&mut self, count: impl FnOnce(&mut Book)) {
         if let Some(book) = &mut self.book {
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -7,6 +7,7 @@
 pub mod config;
 pub mod crowd;
 mod delays;
+mod lasting;
 pub mod lines;
 mod meter;
 pub mod probe;
@@ -154,6 +155,8 @@
     sites: Option<Sites>,
     /// What is counted, where the operators have named sinks.
     book: Option<Book>,
+    /// Where the counts outlast the relay, if anywhere.
+    lasting: Option<meter::Lasting>,
     /// The sites of the card servers.
     zones: BTreeMap<ServerId, ZoneId>,
     /// When discovery last answered.
@@ -196,6 +199,7 @@
                 settings,
                 sites,
                 book: config.metrics.as_ref().map(|plan| Book::new(plan.cap)),
+                lasting: None,
                 zones: BTreeMap::new(),
                 roll_heard: born,
                 asks,
@@ -674,10 +678,15 @@
     listener: TcpListener, config: Config, stop: impl Future<Output = ()>, reloads: reload::Reloads,
 ) -> Result<(), String> {
     let (name, listen, discovery) = (config.name.clone(), config.listen, config.discovery);
-    let sinks = config.metrics.as_ref().map_or_else(Vec::new, |plan| plan.sinks.clone());
+    let metrics = config.metrics.clone();
     let (relay, asks) = Relay::new(config)?;
-    for sink in sinks {
-        tokio::task::spawn_local(sinks::feed(relay.clone(), sink, name.clone()));
+    if let Some(plan) = metrics {
+        if let Some(folder) = &plan.state {
+            relay.borrow_mut().take_up_counts(folder, &name);
+        }
+        for sink in plan.sinks {
+            tokio::task::spawn_local(sinks::feed(relay.clone(), sink, name.clone()));
+        }
     }
     tokio::task::spawn_local(roll::follow(relay.clone(), discovery, asks));
     tokio::task::spawn_local(turn_wheel(relay.clone()));
--- a/src/relay/sinks.rs
+++ b/src/relay/sinks.rs
@@ -16,7 +16,7 @@
 use tokio::time::{Instant, MissedTickBehavior, interval_at, sleep_until, timeout};
 use tracing::{info, warn};
 
-use super::{Held, Shared};
+use super::{Held, Shared, meter};
 
 /// A sink that does not take a connection within this is down.
 const CONNECT: Duration = Duration::from_secs(3);
@@ -113,11 +113,16 @@
             biased;
             _ = ticks.tick() => {
                 let Some(reading) = relay.borrow_mut().reading() else { return };
+                // What a later life would not know of must not be told: a total would fall.
+                if !meter::save(&relay, reading.at).await {
+                    continue;
+                }
                 let told = match sink.protocol {
                     Protocol::Collectd(_) => reading.clone(),
                     Protocol::GraphiteLines(_) | Protocol::GraphitePickle(_) => told_at(&reading, &mut second),
                 };
-                let frames = encode(&sink, &name, &told, before.as_ref(), &mut link.rng);
+                let told = if relay.borrow().counts_last() { told } else { grown(&sink, told, before.as_ref()) };
+                let frames = encode(&sink, &name, &told, &mut link.rng);
                 let dropped = frames.into_iter().map(|(frame, points)| queue.push(frame, points)).sum();
                 before = Some(reading);
                 relay.borrow_mut().meter(|book| book.add(Family::Dropped, 0, dropped));
@@ -205,20 +210,26 @@
     }
 }
 
-/// A reading as frames, with the points that each holds. Graphite gets what totals grew by, as they die with the relay;
-/// collectd takes a total that starts anew for what it is, by its type.
-fn encode(
-    sink: &Sink, name: &str, reading: &Reading, before: Option<&Reading>, rng: &mut StdRng,
-) -> Vec<(Vec<u8>, u64)> {
+/// What a sink is told where totals die with the relay: Graphite what they grew by; collectd takes a total that starts
+/// anew for what it is, by its type.
+fn grown(sink: &Sink, reading: Reading, before: Option<&Reading>) -> Reading {
+    match sink.protocol {
+        Protocol::Collectd(_) => reading,
+        Protocol::GraphiteLines(_) | Protocol::GraphitePickle(_) => reading.since(before),
+    }
+}
+
+/// A reading as frames, with the points that each holds.
+fn encode(sink: &Sink, name: &str, reading: &Reading, rng: &mut StdRng) -> Vec<(Vec<u8>, u64)> {
     let prefix = format!("{}.{}", sink.prefix, name.replace('.', "_"));
     let points = reading.points.len() as u64;
     match &sink.protocol {
         Protocol::GraphiteLines(paths) => {
-            let text = graphite::lines(&prefix, &reading.since(before), *paths);
+            let text = graphite::lines(&prefix, reading, *paths);
             vec![(text.into_bytes(), points)]
         }
         Protocol::GraphitePickle(paths) => {
-            let frames = graphite::pickles(&prefix, &reading.since(before), *paths).unwrap_or_default();
+            let frames = graphite::pickles(&prefix, reading, *paths).unwrap_or_default();
             let each = points / frames.len().max(1) as u64;
             frames.into_iter().map(|frame| (frame, each)).collect()
         }
--- a/tests/metrics.rs
+++ b/tests/metrics.rs
@@ -123,3 +123,82 @@
     }
     panic!("the refusal never came");
 }
+
+/// The last values of a Graphite that is told totals; one that falls is a fault.
+fn totals(got: &Receiver<String>, last: &mut BTreeMap<String, f64>, path: &str, total: f64) {
+    let until = Instant::now() + Duration::from_secs(30);
+    while last.get(path).copied().unwrap_or(0.0) < total {
+        let left = until.saturating_duration_since(Instant::now());
+        let line = got.recv_timeout(left).expect("a line in time");
+        let words: Vec<&str> = line.split(' ').collect();
+        let value: f64 = words[1].parse().expect("a value");
+        let of_total = words[0].contains(".refused.") || words[0].ends_with(".requests");
+        let before = last.insert(words[0].to_owned(), value).unwrap_or(0.0);
+        assert!(!of_total || value >= before, "{} fell from {before} to {value}", words[0]);
+    }
+}
+
+#[test]
+fn totals_last_over_lives_that_are_killed_at_any_time_and_never_fall() {
+    let folder = Folder::new("lasting");
+    let listen = free();
+    let config = folder.write("config.json", &config(listen));
+    let sink = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let at = sink.local_addr().expect("an address");
+    let state = folder.0.join("state");
+    let text =
+        format!("state {}\nsink g {{\n  graphite {at}\n  interval 1s\n  prefix edge\n}}\n", state.display());
+    let plan = folder.write("metrics.conf", &text).display().to_string();
+    let got = graphite(sink);
+    let (mut last, mut told) = (BTreeMap::new(), 0.0);
+    for life in 0..4 {
+        let mut relay = Relay::start(&folder, &config, &format!("log-{life}"), &["--metrics", &plan]);
+        relay.logged("counts are kept");
+        if life == 1 {
+            // A second relay with the same folder serves without it.
+            let other = folder.write("other.json", &process::config(free()));
+            let second = Relay::start(&folder, &other, "log-second", &["--metrics", &plan]);
+            second.logged("another relay uses this folder");
+        }
+        for _ in 0..2 {
+            assert!(answer(listen, HEAD).starts_with("BUSY"));
+        }
+        told += 2.0;
+        totals(&got, &mut last, REFUSED, told);
+        // Killed a different time after a reading in each life. The third lives for two more readings, so that both of
+        // the snapshots that are kept hold all that was told.
+        std::thread::sleep(Duration::from_millis(if life == 2 { 2_600 } else { 130 * life }));
+        relay.child.kill().expect("a kill");
+        relay.child.wait().expect("an end");
+        if life == 2 {
+            // The newest snapshot is torn: the one before it counts.
+            let mut files: Vec<_> =
+                std::fs::read_dir(&state).expect("files").flatten().map(|f| f.path()).collect();
+            files.retain(|f| f.extension().is_some_and(|e| e == "snap"));
+            files.sort();
+            assert_eq!(files.len(), 2);
+            let newest = files.pop().expect("a snapshot");
+            let bytes = std::fs::read(&newest).expect("bytes");
+            std::fs::write(&newest, &bytes[..bytes.len() / 2]).expect("a torn file");
+        }
+    }
+    assert_eq!(last[REFUSED], told);
+}
+
+#[test]
+fn a_folder_that_cannot_be_used_costs_nothing_but_the_lasting() {
+    let folder = Folder::new("no-folder");
+    let listen = free();
+    let config = folder.write("config.json", &config(listen));
+    let file = folder.write("file", "not a folder");
+    let sink = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let at = sink.local_addr().expect("an address");
+    let text =
+        format!("state {}\nsink g {{\n  graphite {at}\n  interval 1s\n  prefix edge\n}}\n", file.display());
+    let plan = folder.write("metrics.conf", &text).display().to_string();
+    let mut store = Store { got: graphite(sink), points: BTreeMap::new() };
+    let relay = Relay::start(&folder, &config, "log", &["--metrics", &plan]);
+    relay.logged("counts will not outlast this relay");
+    assert!(answer(listen, HEAD).starts_with("BUSY"));
+    store.reaches(REFUSED, 1.0);
+}
