--- a/crates/gauges/src/graphite.rs
+++ b/crates/gauges/src/graphite.rs
@@ -79,10 +79,20 @@
     text
 }
 
+/// A point of a pickle: its path, its time in Unix seconds and its value.
+pub type Pickled = (String, (i64, f64));
+
+/// Reads a pickle with its length before it, as a receiver does; none if the bytes are no such thing.
+pub fn read_pickle(bytes: &[u8]) -> Option<Vec<Pickled>> {
+    let (length, body) = bytes.split_at_checked(4)?;
+    let length = u32::from_be_bytes(length.try_into().ok()?) as usize;
+    (body.len() == length).then(|| serde_pickle::from_slice(body, serde_pickle::DeOptions::new()).ok())?
+}
+
 /// A reading as pickled lists, each with its length before it.
 pub fn pickles(prefix: &str, reading: &Reading, paths: Paths) -> Result<Vec<Vec<u8>>, serde_pickle::Error> {
     let at = (reading.at / 1_000_000) as i64;
-    let points: Vec<(String, (i64, f64))> = reading
+    let points: Vec<Pickled> = reading
         .points
         .iter()
         .filter_map(|point| {
@@ -93,7 +103,7 @@
             value.is_finite().then(|| (path(prefix, point, paths), (at, value)))
         })
         .collect();
-    let pickle = |list: &[(String, (i64, f64))]| {
+    let pickle = |list: &[Pickled]| {
         let options = serde_pickle::SerOptions::new().proto_v2();
         let body = serde_pickle::to_vec(&list, options)?;
         let mut frame = (body.len() as u32).to_be_bytes().to_vec();
--- a/crates/gauges/src/state.rs
+++ b/crates/gauges/src/state.rs
@@ -8,7 +8,7 @@
 use xxhash_rust::xxh3::Xxh3;
 
 /// What each snapshot begins with.
-const MAGIC: &[u8; 8] = b"HKGAUGES";
+pub const MAGIC: &[u8; 8] = b"HKGAUGES";
 /// The format's version.
 const VERSION: u32 = 1;
 /// Bytes before the body.
--- a/crates/gauges/tests/formats.rs
+++ b/crates/gauges/tests/formats.rs
@@ -2,7 +2,7 @@
 
 use honeyknot_gauges::book::{OTHERS, Point, Reading, Value};
 use honeyknot_gauges::collectd::{PACKET, Security, Unread, packets, putvals, read};
-use honeyknot_gauges::graphite::{Paths, lines, pickles};
+use honeyknot_gauges::graphite::{Paths, lines, pickles, read_pickle};
 use honeyknot_gauges::names::{Family, Kind, NAMES};
 use honeyknot_gauges::state::State;
 use honeyknot_gauges::{Book, collectd};
@@ -41,11 +41,8 @@
 #[test]
 fn graphite_pickles_have_their_length_before_them_and_are_bounded() {
     let frames = pickles("edge", &sample(), Paths::Nodes).expect("a pickle");
-    let (length, body) = frames[0].split_at(4);
-    assert_eq!(u32::from_be_bytes(length.try_into().expect("four bytes")) as usize, body.len());
-    assert_eq!(&body[..2], b"\x80\x02");
-    type List = Vec<(String, (i64, f64))>;
-    let list: List = serde_pickle::from_slice(body, serde_pickle::DeOptions::new()).expect("a list");
+    assert_eq!(&frames[0][4..6], b"\x80\x02");
+    let list = read_pickle(&frames[0]).expect("a list");
     let expected = [
         ("edge.refused.reason.site_limit".to_owned(), (1_700_000_000, 7.0)),
         ("edge.sessions".to_owned(), (1_700_000_000, 2.5)),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,7 @@
 #![forbid(unsafe_code)]
 #![doc = include_str!("../README.md")]
 
+pub mod inspect;
 pub mod logger;
 pub mod relay;
 pub mod wire;
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,6 +3,7 @@
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
+use honeyknot::inspect::{self, Show};
 use honeyknot::logger::{self, Form};
 use honeyknot::relay::{
     self,
@@ -36,6 +37,11 @@
         #[command(flatten)]
         files: OperatorFiles,
     },
+    /// Show the names of all series, or captured packets and snapshots of metrics.
+    Metrics {
+        #[command(subcommand)]
+        show: Show,
+    },
     /// Print name and version.
     Version,
 }
@@ -47,6 +53,7 @@
             relay::serve(files)
         }
         Command::CheckConfig { files } => Config::from_environment(&files).map(|config| describe(&config)),
+        Command::Metrics { show } => inspect::show(&show),
         Command::Version => {
             println!("honeyknot {}", env!("CARGO_PKG_VERSION"));
             Ok(())
--- a/src/relay/config.rs
+++ b/src/relay/config.rs
@@ -24,7 +24,7 @@
 const KEY_FILE: u64 = 4096;
 
 /// Reads a key file: one line, `USER: PASSWORD`, that nobody but its owner may read.
-fn secret(path: &str) -> Result<(String, String), String> {
+pub fn secret(path: &str) -> Result<(String, String), String> {
     use std::os::unix::fs::PermissionsExt;
     let about = std::fs::metadata(path).map_err(|e| e.to_string())?;
     if about.permissions().mode() & 0o077 != 0 {
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -63,3 +63,32 @@
     let line = answer(listen, "OPEN 1 2 c=study,d=1200\r\n");
     assert!(line.starts_with("BUSY"), "{line}");
 }
+
+#[test]
+fn metrics_are_named_and_captures_made_readable() {
+    let folder = Folder::new("inspect");
+    let run = |words: &[&str]| honeyknot(&folder.0, words).output().expect("a run");
+    let output = run(&["metrics", "names"]);
+    let names = String::from_utf8_lossy(&output.stdout).into_owned();
+    assert!(names.contains("refused\ttotal\trequests\treason\tdecisions,site_limit"), "{names}");
+    let state = honeyknot_gauges::Book::new(1).state("n0", 5_000_000, 2).encode().expect("a snapshot");
+    let file = folder.0.join("state");
+    fs::write(&file, &state).expect("a file");
+    let output = run(&["metrics", "decode", &file.display().to_string()]);
+    assert!(String::from_utf8_lossy(&output.stdout).starts_with("relay n0 at 5.000, life 2\n"));
+    fs::write(&file, &state[..state.len() - 1]).expect("a file");
+    let (code, text) = told(&run(&["metrics", "decode", &file.display().to_string()]));
+    assert!(code == Some(2) && text.contains("the snapshot has"), "{text}");
+    let packet = honeyknot_gauges::collectd::packets(
+        "n0",
+        "relay",
+        &honeyknot_gauges::Book::new(1).read(5_000_000),
+        1_000_000,
+        &honeyknot_gauges::collectd::Security::None,
+        || [0; 16],
+    );
+    fs::write(&file, &packet[0]).expect("a file");
+    let output = run(&["metrics", "decode", &file.display().to_string()]);
+    let shown = String::from_utf8_lossy(&output.stdout).into_owned();
+    assert!(shown.contains("n0/honeyknot-relay/derive-refused-closing 0 5.000"), "{shown}");
+}
