A hangup changes sinks while they run; what waited for a changed one goes on to it

Need: a sink that is dead must be replaced without a restart and without losing what it missed.

Change: SIGHUP reads metrics.conf again; sinks that stay are untouched, a changed one's task hands its queue, its last reading and its last second to the next. Where protocol or prefix differ the frames cannot go on and are counted as dropped.

Measured: a sink that is down is given a new address by SIGHUP while another is a black hole: 4 of 4 refusals arrive there.

--- a/crates/gauges/src/plan.rs
+++ b/crates/gauges/src/plan.rs
@@ -16,7 +16,7 @@
 const SINKS: usize = 16;
 
 /// The protocol of a sink.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Protocol {
     /// Graphite's plaintext over TCP.
     GraphiteLines(Paths),
@@ -27,7 +27,7 @@
 }
 
 /// One sink.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Sink {
     /// Its name, in the log.
     pub name: String,
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -157,6 +157,8 @@
     book: Option<Book>,
     /// Where the counts outlast the relay, if anywhere.
     lasting: Option<meter::Lasting>,
+    /// The sinks that are fed, by name.
+    sinks: BTreeMap<String, sinks::Running>,
     /// The sites of the card servers.
     zones: BTreeMap<ServerId, ZoneId>,
     /// When discovery last answered.
@@ -200,6 +202,7 @@
                 sites,
                 book: config.metrics.as_ref().map(|plan| Book::new(plan.cap)),
                 lasting: None,
+                sinks: BTreeMap::new(),
                 zones: BTreeMap::new(),
                 roll_heard: born,
                 asks,
@@ -684,9 +687,7 @@
         if let Some(folder) = &plan.state {
             relay.borrow_mut().take_up_counts(folder, &name);
         }
-        for sink in plan.sinks {
-            tokio::task::spawn_local(sinks::feed(relay.clone(), sink, name.clone()));
-        }
+        sinks::run(&relay, &plan, &name);
     }
     tokio::task::spawn_local(roll::follow(relay.clone(), discovery, asks));
     tokio::task::spawn_local(turn_wheel(relay.clone()));
--- a/src/relay/reload.rs
+++ b/src/relay/reload.rs
@@ -4,8 +4,8 @@
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 use tracing::{info, warn};
 
-use super::Shared;
 use super::config::Config;
+use super::{Shared, sinks};
 
 /// Configurations as they were read again, or why one could not be.
 pub type Reloads = UnboundedReceiver<Result<Config, String>>;
@@ -30,6 +30,9 @@
             Ok(config) => {
                 info!(target: "reload", discovery = %config.discovery, descriptors = config.sockets, "applied");
                 relay.borrow_mut().reconfigure(&config);
+                if let Some(plan) = &config.metrics {
+                    sinks::run(&relay, plan, &config.name);
+                }
             }
             Err(why) => warn!(target: "reload", why, "the configuration held stays in use"),
         }
--- a/src/relay/sinks.rs
+++ b/src/relay/sinks.rs
@@ -3,16 +3,18 @@
 //! Nothing here can hold up the relay: what waits is bounded in bytes, the oldest makes room and is counted, and a
 //! write that the sink does not take is left until it does.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::io;
 use std::net::{Ipv4Addr, Ipv6Addr, SocketAddr};
 use std::time::Duration;
 
-use honeyknot_gauges::plan::{Protocol, Sink};
+use honeyknot_gauges::plan::{Plan, Protocol, Sink};
 use honeyknot_gauges::{Family, Reading, collectd, graphite};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use tokio::net::{TcpStream, UdpSocket};
+use tokio::sync::oneshot;
+use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::{Instant, MissedTickBehavior, interval_at, sleep_until, timeout};
 use tracing::{info, warn};
 
@@ -96,23 +98,89 @@
     }
 }
 
-/// Feeds a sink until the relay ends.
-pub async fn feed(relay: Shared, sink: Sink, name: String) {
+/// What a sink's task leaves to the one that follows it.
+pub struct Feed {
+    queue: Queue,
+    /// The reading that was told last.
+    before: Option<Reading>,
+    /// The second that was told last.
+    second: u64,
+}
+
+/// A sink that is being fed.
+pub struct Running {
+    sink: Sink,
+    stop: oneshot::Sender<()>,
+    task: JoinHandle<Feed>,
+}
+
+/// Feeds the sinks that a plan names, and no others. One that stays as it is is not touched; one that has changed goes on
+/// where it was, with what still waits for it.
+pub fn run(relay: &Shared, plan: &Plan, name: &str) {
+    let mut old = std::mem::take(&mut relay.borrow_mut().sinks);
+    let mut running = BTreeMap::new();
+    for sink in &plan.sinks {
+        let carried = match old.remove(&sink.name) {
+            Some(same) if same.sink == *sink => {
+                running.insert(sink.name.clone(), same);
+                continue;
+            }
+            changed => changed.map(Running::stop),
+        };
+        let (stop, stopped) = oneshot::channel();
+        let task = spawn_local(feed(relay.clone(), sink.clone(), name.to_owned(), carried, stopped));
+        running.insert(sink.name.clone(), Running { sink: sink.clone(), stop, task });
+    }
+    old.into_values().for_each(|gone| drop(gone.stop()));
+    relay.borrow_mut().sinks = running;
+}
+
+impl Running {
+    /// Has the task end as soon as it can; what it leaves comes out of it.
+    fn stop(self) -> (Sink, JoinHandle<Feed>) {
+        // A task that has ended by itself hears nothing and is done.
+        let _ = self.stop.send(());
+        (self.sink, self.task)
+    }
+}
+
+/// What a sink begins with: nothing, or what the one before it under its name has left.
+async fn take_over(relay: &Shared, sink: &Sink, carried: Option<(Sink, JoinHandle<Feed>)>) -> Feed {
+    let most = sink.buffer as usize;
+    // Guards against a second that the life before this one has told already.
+    let second = relay.borrow().timers.clock.now() / 1_000_000 + 1;
+    let mut fresh =
+        Feed { queue: Queue { frames: VecDeque::new(), bytes: 0, most, written: 0 }, before: None, second };
+    let Some((old, task)) = carried else { return fresh };
+    let Ok(mut left) = task.await else { return fresh };
+    (left.queue.most, left.queue.written) = (most, 0);
+    if old.protocol == sink.protocol && old.prefix == sink.prefix {
+        return left;
+    }
+    // Frames of another form cannot be sent on; what they told is counted as dropped.
+    let dropped = left.queue.frames.iter().map(|(_, points)| points).sum();
+    relay.borrow_mut().meter(|book| book.add(Family::Dropped, 0, dropped));
+    (fresh.before, fresh.second) = (left.before, left.second.max(second));
+    fresh
+}
+
+/// Feeds a sink until it is stopped.
+async fn feed(
+    relay: Shared, sink: Sink, name: String, carried: Option<(Sink, JoinHandle<Feed>)>,
+    mut stop: oneshot::Receiver<()>,
+) -> Feed {
+    let Feed { mut queue, mut before, mut second } = take_over(&relay, &sink, carried).await;
     let mut ticks = interval_at(Instant::now() + sink.interval, sink.interval);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
-    let mut queue = Queue { frames: VecDeque::new(), bytes: 0, most: sink.buffer as usize, written: 0 };
-    let mut before: Option<Reading> = None;
-    // Guards against a second that the life before this one has told already.
-    let mut second = relay.borrow().timers.clock.now() / 1_000_000 + 1;
     let now = Instant::now();
-    let Ok(rng) = StdRng::try_from_os_rng() else { return };
-    let mut link = Link { line: None, failures: 0, next: now, moved: now, rng };
+    let mut link = Link { line: None, failures: 0, next: now, moved: now, rng: StdRng::from_os_rng() };
     loop {
         let waits = !queue.frames.is_empty();
         tokio::select! {
             biased;
+            _ = &mut stop => return Feed { queue, before, second },
             _ = ticks.tick() => {
-                let Some(reading) = relay.borrow_mut().reading() else { return };
+                let Some(reading) = relay.borrow_mut().reading() else { continue };
                 // What a later life would not know of must not be told: a total would fall.
                 if !meter::save(&relay, reading.at).await {
                     continue;
--- a/tests/metrics.rs
+++ b/tests/metrics.rs
@@ -185,6 +185,36 @@
     assert_eq!(last[REFUSED], told);
 }
 
+/// A sink is down; a hangup gives it another address, and what waited for it goes there.
+#[test]
+fn a_hangup_moves_a_sink_and_what_waited_goes_to_the_new_address() {
+    let folder = Folder::new("swap");
+    let listen = free();
+    let config = folder.write("config.json", &config(listen));
+    let sink = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let hole = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let text = |at: std::net::SocketAddr| {
+        let hole = hole.local_addr().expect("an address");
+        format!(
+            "sink g {{\n  graphite {at}\n  interval 1s\n  prefix edge\n}}\nsink hole {{\n  graphite {hole}\n}}\n"
+        )
+    };
+    let plan = folder.write("metrics.conf", &text(free())).display().to_string();
+    let relay = Relay::start(&folder, &config, "log", &["--metrics", &plan]);
+    for _ in 0..3 {
+        assert!(answer(listen, HEAD).starts_with("BUSY"));
+    }
+    relay.logged("the sink takes no data");
+    std::thread::sleep(Duration::from_millis(1_200));
+    folder.write("metrics.conf", &text(sink.local_addr().expect("an address")));
+    relay.hang_up();
+    relay.logged("\"message\":\"applied\"");
+    assert!(answer(listen, HEAD).starts_with("BUSY"));
+    let mut store = Store { got: graphite(sink), points: BTreeMap::new() };
+    store.reaches(REFUSED, 4.0);
+    assert_eq!(store.sum(REFUSED), 4.0);
+}
+
 #[test]
 fn a_folder_that_cannot_be_used_costs_nothing_but_the_lasting() {
     let folder = Folder::new("no-folder");
