A spool on disk keeps what a sink that is down has missed, and fills it in afterwards

Need: sinks go down on the same evenings as relays; what they missed must come later, with the times it had.

Once the sink is back new readings go first and what waited fills the gaps, oldest first, at a stated rate.

Measured: a sink that is down through two lives of a relay, both killed: in the order of their times the totals that it then gets never fall, and reach what clients saw.

--- a/crates/gauges/src/lib.rs
+++ b/crates/gauges/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod graphite;
 pub mod names;
 pub mod plan;
+pub mod records;
 pub mod state;
 
 pub use book::{Book, Point, Reading, Value};
--- a/crates/gauges/src/plan.rs
+++ b/crates/gauges/src/plan.rs
@@ -39,8 +39,12 @@
     pub interval: Duration,
     /// The nodes before all series of Graphite, the relay's name after them.
     pub prefix: String,
-    /// The most bytes that wait for it; the oldest readings make room.
+    /// The most bytes that wait for it in memory; the oldest readings make room.
     pub buffer: u64,
+    /// The most bytes that wait for it on disk, below the folder that lasts; 0 is none.
+    pub spool: u64,
+    /// Readings a second that are sent from there once it is back.
+    pub fill: f64,
 }
 
 /// The operators' settings for metrics.
@@ -67,7 +71,7 @@
         let state = top.value("state", units::text()).map(PathBuf::from);
         let mut sinks: Vec<Sink> = Vec::new();
         for directive in top.each("sink") {
-            let Some(sink) = read_sink(&top, directive, &secret) else { continue };
+            let Some(sink) = read_sink(&top, directive, &secret, state.is_some()) else { continue };
             if sinks.iter().any(|s| s.name == sink.name) {
                 top.fault(&directive.name, format!("the sink `{}` is given again", sink.name));
             }
@@ -83,6 +87,7 @@
 
 fn read_sink(
     top: &Section, directive: &Directive, secret: &impl Fn(&str) -> Result<(String, String), String>,
+    lasts: bool,
 ) -> Option<Sink> {
     let [name] = &directive.words[..] else {
         top.fault(&directive.name, "`sink` takes one word, its name".into());
@@ -98,6 +103,8 @@
     let interval = units::duration(Duration::from_millis(100)..=Duration::from_secs(3600));
     let interval = block.value("interval", interval).unwrap_or(Duration::from_secs(10));
     let prefix = block.value("prefix", units::text()).unwrap_or_else(|| "honeyknot".to_owned());
+    let spool = block.value("spool", units::bytes(4 << 20..=1 << 40));
+    let fill = block.value("fill", units::rate(0.1..=10_000.0)).unwrap_or(20.0);
     let buffer = block.value("buffer", units::bytes(4 << 10..=1 << 30)).unwrap_or(1 << 20);
     if (lines.is_some() || pickle.is_some()) && interval < GRAPHITE_LEAST {
         block.fault(
@@ -134,5 +141,9 @@
             return None;
         }
     };
-    Some(Sink { name: name.text.clone(), protocol, address, interval, prefix, buffer })
+    let spool = spool.unwrap_or(0);
+    if spool > 0 && !lasts {
+        top.fault(&directive.name, "`spool` needs a folder that lasts: `state FOLDER`".into());
+    }
+    Some(Sink { name: name.text.clone(), protocol, address, interval, prefix, buffer, spool, fill })
 }
--- a/src/relay/lasting.rs
+++ b/src/relay/lasting.rs
@@ -35,11 +35,11 @@
             TryLockError::WouldBlock => format!("{}: another relay uses this folder", path.display()),
             TryLockError::Error(e) => told(e),
         })?;
-        for left in numbered(path, ".tmp").map_err(told)? {
+        for left in numbered(path, "state-", ".tmp").map_err(told)? {
             // Written when an earlier life was killed; it was never a snapshot.
             let _ = fs::remove_file(left.1);
         }
-        let mut found = numbered(path, ".snap").map_err(told)?;
+        let mut found = numbered(path, "state-", ".snap").map_err(told)?;
         let next = found.last().map_or(1, |(number, _)| number + 1);
         let mut state = None;
         while let Some((_, file)) = found.pop() {
@@ -59,6 +59,12 @@
         Ok((Folder { path: Arc::new(path.to_owned()), _lock: lock, next }, state))
     }
 
+    /// Where a sink's spool is.
+    pub fn spool(&self, sink: &str) -> PathBuf {
+        let plain = |c: char| if c.is_ascii_alphanumeric() || c == '-' || c == '_' { c } else { '_' };
+        self.path.join(format!("spool-{}", sink.chars().map(plain).collect::<String>()))
+    }
+
     /// A write of a snapshot's bytes, to be run where it may block.
     pub fn write(&mut self, bytes: Vec<u8>) -> impl FnOnce() -> io::Result<()> + Send + 'static {
         let (path, number) = (self.path.clone(), self.next);
@@ -67,13 +73,13 @@
     }
 }
 
-/// The folder's files `state-NUMBER` with an ending, by number, the oldest first.
-fn numbered(path: &Path, ending: &str) -> io::Result<Vec<(u64, PathBuf)>> {
+/// A folder's files that are named by a number between a beginning and an ending, the lowest first.
+pub fn numbered(path: &Path, beginning: &str, ending: &str) -> io::Result<Vec<(u64, PathBuf)>> {
     let mut found = Vec::new();
     for entry in fs::read_dir(path)? {
         let file = entry?.path();
         let name = file.file_name().and_then(|n| n.to_str()).unwrap_or_default();
-        let number = name.strip_prefix("state-").and_then(|n| n.strip_suffix(ending));
+        let number = name.strip_prefix(beginning).and_then(|n| n.strip_suffix(ending));
         if let Some(number) = number.and_then(|n| n.parse().ok()) {
             found.push((number, file));
         }
@@ -98,7 +104,7 @@
     file.sync_all()?;
     fs::rename(&beside, path.join(format!("state-{number:016}.snap")))?;
     File::open(path)?.sync_all()?;
-    let found = numbered(path, ".snap")?;
+    let found = numbered(path, "state-", ".snap")?;
     for (_, old) in found.iter().rev().skip(KEPT) {
         // One that cannot be removed now is removed after the next.
         let _ = fs::remove_file(old);
--- a/src/relay/meter.rs
+++ b/src/relay/meter.rs
@@ -1,7 +1,7 @@
 //! What the relay counts: plain calls from where things happen into its [`Book`], if there is one.
 
 use std::io;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 use honeyknot_gauges::{Book, Family, Reading};
 use tracing::{info, warn};
@@ -86,6 +86,11 @@
         }
     }
 
+    /// Where a sink's spool is, if anything lasts.
+    pub fn spool_folder(&self, sink: &str) -> Option<PathBuf> {
+        self.lasting.as_ref().map(|lasting| lasting.folder.spool(sink))
+    }
+
     /// Whether totals last over the relay's lives.
     pub fn counts_last(&self) -> bool {
         self.lasting.is_some()
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -17,6 +17,8 @@
 pub mod shutdown;
 mod sinks;
 mod sites;
+mod spool;
+mod waiting;
 pub mod wheel;
 
 use std::cell::{Cell, RefCell};
--- a/src/relay/sinks.rs
+++ b/src/relay/sinks.rs
@@ -1,7 +1,7 @@
 //! Sinks of metrics: each is a task that reads the book at its interval and sends what it must when its sink takes it.
 //!
-//! Nothing here can hold up the relay: what waits is bounded in bytes, the oldest makes room and is counted, and a
-//! write that the sink does not take is left until it does.
+//! Nothing here can hold up the relay: what waits is bounded in bytes, in memory and on disk, the oldest makes room and is
+//! counted, and a write that the sink does not take is left until it does.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::io;
@@ -18,8 +18,11 @@
 use tokio::time::{Instant, MissedTickBehavior, interval_at, sleep_until, timeout};
 use tracing::{info, warn};
 
+use super::waiting::Waiting;
 use super::{Held, Shared, meter};
 
+/// Readings that wait in memory where there is a spool: older ones wait on disk.
+const LIVE: usize = 2;
 /// A sink that does not take a connection within this is down.
 const CONNECT: Duration = Duration::from_secs(3);
 /// First wait after a failure; it doubles up to 64 times this, and differs by half from sink to sink.
@@ -37,29 +40,44 @@
 }
 
 impl Queue {
-    /// Adds a frame that holds so many points; how many points had to make room. Guards against a stream that is cut in
-    /// mid-frame: one that is half written stays, and the next oldest goes.
-    fn push(&mut self, frame: Vec<u8>, points: u64) -> u64 {
-        let mut dropped = 0;
+    /// Adds a frame that holds so many points; what had to make room comes out, the oldest first. Guards against a stream
+    /// that is cut in mid-frame: one that is half written stays, and the next oldest goes.
+    fn push(&mut self, frame: Vec<u8>, points: u64) -> Vec<(Vec<u8>, u64)> {
+        let mut out = Vec::new();
         while self.bytes + frame.len() > self.most {
-            let Some((old, points_there)) = self.frames.remove(usize::from(self.written > 0)) else {
-                return dropped + points;
+            let Some(old) = self.frames.remove(usize::from(self.written > 0)) else {
+                out.push((frame, points));
+                return out;
             };
-            self.bytes -= old.len();
-            dropped += points_there;
+            self.bytes -= old.0.len();
+            out.push(old);
         }
         self.bytes += frame.len();
         self.frames.push_back((frame, points));
-        dropped
+        out
     }
 
-    /// The sink has taken so many bytes of the first frame.
-    fn wrote(&mut self, count: usize) {
+    /// Takes out all but the newest so many frames, the oldest first, but never one that is half written.
+    fn older_than(&mut self, newest: usize) -> Vec<(Vec<u8>, u64)> {
+        let mut out = Vec::new();
+        let first = usize::from(self.written > 0);
+        while self.frames.len() > newest.max(first) {
+            let Some(old) = self.frames.remove(first) else { break };
+            self.bytes -= old.0.len();
+            out.push(old);
+        }
+        out
+    }
+
+    /// The sink has taken so many bytes of the first frame; true if that is all of it.
+    fn wrote(&mut self, count: usize) -> bool {
         self.written += count;
-        if self.frames.front().is_some_and(|(frame, _)| self.written >= frame.len()) {
+        let whole = self.frames.front().is_some_and(|(frame, _)| self.written >= frame.len());
+        if whole {
             self.written = 0;
             self.bytes -= self.frames.pop_front().map_or(0, |(frame, _)| frame.len());
         }
+        whole
     }
 }
 
@@ -75,6 +93,8 @@
     next: Instant,
     /// When the sink last took anything.
     moved: Instant,
+    /// When the next reading may be sent from disk.
+    fill: Instant,
     rng: StdRng,
 }
 
@@ -170,15 +190,24 @@
     mut stop: oneshot::Receiver<()>,
 ) -> Feed {
     let Feed { mut queue, mut before, mut second } = take_over(&relay, &sink, carried).await;
+    let mut waiting = Waiting::open(&relay, &sink).await;
     let mut ticks = interval_at(Instant::now() + sink.interval, sink.interval);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
     let now = Instant::now();
-    let mut link = Link { line: None, failures: 0, next: now, moved: now, rng: StdRng::from_os_rng() };
+    let mut link =
+        Link { line: None, failures: 0, next: now, moved: now, fill: now, rng: StdRng::from_os_rng() };
     loop {
         let waits = !queue.frames.is_empty();
         tokio::select! {
             biased;
-            _ = &mut stop => return Feed { queue, before, second },
+            _ = &mut stop => {
+                // What lies on disk is taken up from there.
+                if waiting.filling.take().is_some() {
+                    queue.written = 0;
+                    queue.bytes -= queue.frames.pop_front().map_or(0, |(frame, _)| frame.len());
+                }
+                return Feed { queue, before, second };
+            }
             _ = ticks.tick() => {
                 let Some(reading) = relay.borrow_mut().reading() else { continue };
                 // What a later life would not know of must not be told: a total would fall.
@@ -191,9 +220,18 @@
                 };
                 let told = if relay.borrow().counts_last() { told } else { grown(&sink, told, before.as_ref()) };
                 let frames = encode(&sink, &name, &told, &mut link.rng);
-                let dropped = frames.into_iter().map(|(frame, points)| queue.push(frame, points)).sum();
+                let count = frames.len();
+                let mut over: Vec<_> = frames.into_iter().flat_map(|(frame, points)| queue.push(frame, points)).collect();
+                if waiting.lasts() {
+                    over.extend(queue.older_than(LIVE * count));
+                }
+                if waiting.filling.is_some() && queue.written == 0 && !over.is_empty() {
+                    // The first of these lies on disk still; it will be read again.
+                    over.remove(0);
+                    waiting.filling = None;
+                }
                 before = Some(reading);
-                relay.borrow_mut().meter(|book| book.add(Family::Dropped, 0, dropped));
+                waiting.put(&relay, &sink, over).await;
                 if !waits {
                     link.moved = Instant::now();
                 }
@@ -212,7 +250,9 @@
             wrote = write(link.line.as_ref(), &queue), if waits && link.line.is_some() => match wrote {
                 Ok(count) => {
                     link.moved = Instant::now();
-                    queue.wrote(count);
+                    if queue.wrote(count) {
+                        waiting.sent().await;
+                    }
                 }
                 // The frame goes again as a whole: Graphite keeps one value for a path and a time.
                 Err(e) => {
@@ -220,6 +260,17 @@
                     link.failed(&sink, &e);
                 }
             },
+            // Newer readings go first: what waited on disk fills the gaps behind them.
+            () = sleep_until(link.fill), if !waits && link.failures == 0 && waiting.has_more() => {
+                link.fill = Instant::now() + Duration::from_secs_f64(1.0 / sink.fill);
+                if let Some((frame, points)) = waiting.take(&relay).await {
+                    let over = queue.push(frame, points);
+                    if !over.is_empty() {
+                        // It is larger than all that may wait in memory.
+                        waiting.sent().await;
+                    }
+                }
+            }
             () = sleep_until(link.moved + STALLED), if waits && link.line.is_some() => {
                 queue.written = 0;
                 link.failed(&sink, &io::Error::other("it takes nothing"));
--- a/tests/metrics.rs
+++ b/tests/metrics.rs
@@ -215,6 +215,51 @@
     assert_eq!(store.sum(REFUSED), 4.0);
 }
 
+/// The sink is down for some readings, the relay is killed meanwhile, and both come back: no reading is missing.
+#[test]
+fn a_spool_fills_in_what_a_sink_missed_over_a_death_of_the_relay() {
+    let folder = Folder::new("spool");
+    let listen = free();
+    let config = folder.write("config.json", &config(listen));
+    let at = free();
+    let state = folder.0.join("state");
+    let text = format!(
+        "state {}\nsink g {{\n  graphite {at}\n  interval 1s\n  prefix edge\n  spool 4MiB\n}}\n",
+        state.display()
+    );
+    let plan = folder.write("metrics.conf", &text).display().to_string();
+    let mut asked = 0.0;
+    for life in 0..2 {
+        let mut relay = Relay::start(&folder, &config, &format!("log-{life}"), &["--metrics", &plan]);
+        for _ in 0..4 {
+            assert!(answer(listen, HEAD).starts_with("BUSY"));
+            asked += 1.0;
+            std::thread::sleep(Duration::from_millis(1_000));
+        }
+        relay.child.kill().expect("a kill");
+        relay.child.wait().expect("an end");
+    }
+    let sink = TcpListener::bind(at).expect("the sink's port");
+    let got = graphite(sink);
+    let relay = Relay::start(&folder, &config, "log-2", &["--metrics", &plan]);
+    relay.logged("readings wait on disk");
+    let (mut seen, mut most) = (BTreeMap::new(), 0.0f64);
+    let until = Instant::now() + Duration::from_secs(30);
+    while seen.len() < 6 || most < asked - 1.0 {
+        let line = got.recv_timeout(until.saturating_duration_since(Instant::now())).expect("a line in time");
+        let words: Vec<&str> = line.split(' ').collect();
+        if words[0] == "edge.n0.requests" {
+            let value: f64 = words[1].parse().expect("a value");
+            let time: u64 = words[2].parse().expect("a time");
+            most = most.max(value);
+            seen.insert(time, value);
+        }
+    }
+    // In the order of their times totals never fall, though they came out of order.
+    let values: Vec<f64> = seen.values().copied().collect();
+    assert!(values.windows(2).all(|w| w[0] <= w[1]), "{seen:?}");
+}
+
 #[test]
 fn a_folder_that_cannot_be_used_costs_nothing_but_the_lasting() {
     let folder = Folder::new("no-folder");
