Relays begin moves out of step, so that all together keep the stated pace

Cause: at 200 relays the simulation saw 50 moves in one second where 4 are stated: each relay had saved a token by the time at which sessions began to come home. With the pace kept, giving back begins later, and one of the limit's tests was a session over: the time in which claims change hands did not count the wait for the first move.

Change: when moves begin, a relay keeps a random part of what it has saved; claims wait for the first move too.

--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -185,8 +185,8 @@
     let (limit, moves, news) = (plan.spill_limit, plan.moves_per_s, Duration::from_millis(2_500));
     let day = Simulation { sites, servers, relays, load, scenario, plan, seed: world.seed, news };
     let o = simulate(&day)?;
-    // Each relay may make one move that it saved.
-    let paced = o.worst_moves_per_s as f64 <= moves + relays as f64;
+    // Relays move out of step: a second may see more than the mean by chance.
+    let paced = o.worst_moves_per_s as f64 <= moves + 4.0 * moves.sqrt();
     let held = o.worst_spill <= limit + SPILL_SLACK && o.servers_pushed_over == 0 && paced;
     if json {
         println!("{}", serde_json::to_string(&o).map_err(|e| e.to_string())?);
--- a/crates/sites/src/lib.rs
+++ b/crates/sites/src/lib.rs
@@ -166,6 +166,8 @@
     before: u32,
     /// How long a relay takes to move away all that it may hold at all sites, at its part of the pace of moves.
     giving_back: Micros,
+    /// How long the first of those moves may take to come.
+    first_move: Micros,
 }
 
 /// One relay's part in losing and regaining sites.
@@ -188,6 +190,8 @@
     move_bucket: Bucket,
     come_back: ComeBack,
     admitted: (f64, Micros),
+    /// Sessions may be moved.
+    moves_open: bool,
     /// The deck whose sessions are being moved.
     moving: Option<GroupKey>,
     /// The roll that is held is from before the start.
@@ -237,6 +241,7 @@
             servers: BTreeMap::new(),
             book: Book::default(),
             admitted: (0.0, now),
+            moves_open: false,
             moving: None,
             hearsay: true,
             blind: false,
@@ -476,7 +481,7 @@
         let age = now.saturating_sub(short);
         let whole = need / needs.max(need);
         let claim = if self.claims.before > u32::from(place.before(short)) {
-            let taken = age.saturating_sub(self.plan.news_skew) as f64;
+            let taken = age.saturating_sub(self.plan.news_skew + self.claims.first_move) as f64;
             let over = self.plan.claim.max(self.claims.giving_back / 2).max(1) as f64;
             (taken / over).min(1.0) * whole
         } else if age < self.plan.news_skew {
@@ -508,6 +513,7 @@
             needs: self.places.iter().map(|p| p.relays * p.need).sum(),
             before: before.count() as u32,
             giving_back,
+            first_move: (1e6 / pace).min(3.6e9) as Micros,
         };
     }
 
@@ -682,6 +688,12 @@
                 && self.book.standing_at(*z) > 0
         });
         self.move_bucket.fill(now, self.plan.moves_per_s / self.relays, 1.0);
+        let opens = crowded.is_some() || come > 0.0 && room && self.book.standing() > 0;
+        // Guards against all relays using a token that each has saved in the same second.
+        if opens && !std::mem::replace(&mut self.moves_open, opens) {
+            self.move_bucket.keep(self.rng.random());
+        }
+        self.moves_open = opens;
         while self.move_bucket.has() {
             let next = match crowded {
                 Some(site) => self.book.next(Some(site), &self.moving, now, STAYS),
--- a/crates/sites/src/pace.rs
+++ b/crates/sites/src/pace.rs
@@ -34,6 +34,11 @@
         self.tokens -= 1.0;
     }
 
+    /// Keeps a part of what is there.
+    pub fn keep(&mut self, part: f64) {
+        self.tokens *= part;
+    }
+
     /// Empties the bucket.
     pub fn clear(&mut self, now: Micros) {
         (self.tokens, self.at) = (0.0, now);
