--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -222,13 +222,13 @@
     let folder = tempfile::tempdir().map_err(|e| format!("no folder for files: {e}"))?;
     match command {
         Command::Try { length, world } => {
-            let mut day = day(&world, Scenario::Lost, folder.path())?;
+            let mut day = day(&world, Scenario::Show, folder.path())?;
             day.length = length;
             println!(
                 "A world on loopback: 4 sites, {} card servers, {} relays.",
                 world.servers, world.relays
             );
-            println!("tema is lost after 12 s and comes back after 28 s. Ctrl-C ends it.");
+            println!("tema is lost after 4 s and comes back after 10 s. Ctrl-C ends it.");
             let mut view = View::default();
             let report = play(&day, |world| view.show(world), interrupted()).await?;
             println!();
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -27,6 +27,8 @@
     Calm,
     /// A site is lost and regained within seconds, for tests.
     Short,
+    /// The same, and time to look at it.
+    Show,
 }
 
 /// Something that happens to the world.
@@ -116,6 +118,7 @@
                 (steps, at(70))
             }
             Scenario::Short => (vec![(at(4), kill(LOST)), (at(10), back(LOST))], at(18)),
+            Scenario::Show => (vec![(at(4), kill(LOST)), (at(10), back(LOST))], at(60)),
             Scenario::Calm => (Vec::new(), at(40)),
         }
     }
