Read once more: work done twice on news and placements, and state that nobody read

Cause: a reading of the whole change found news of the roll scanned once for each site, though the page says O(servers + sites), claims added up twice, a name copied at each placement with metrics off, one map from outcome to sign of life written twice, two functions on what a sink is told, a field that nobody read, and a page of the spool that told of an earlier plan.

Change: one pass over the card servers; claims again only if a site began anew; no copy where metrics or sites are off; one map, with the probe's one difference beside it; one function; the field gone; the page true. Behaviour is the same.

--- a/crates/sites/src/book.rs
+++ b/crates/sites/src/book.rs
@@ -14,10 +14,8 @@
     pub deck: Option<GroupKey>,
     /// Its load in usual sessions.
     pub units: f64,
-    /// Since when it is there.
+    /// Since when it stands, or its attempt is out.
     pub since: Micros,
-    /// Whether it stands; until then an attempt is out.
-    pub stands: bool,
 }
 
 /// All sessions that this relay has sent to other sites.
@@ -57,7 +55,7 @@
     /// The session stands.
     pub fn stands(&mut self, id: RequestId, now: Micros) {
         let Some(entry) = self.entries.get_mut(&id) else { return };
-        (entry.stands, entry.since) = (true, now);
+        entry.since = now;
         self.standing.entry(entry.site).or_default().insert((entry.deck.clone(), id));
     }
 
--- a/crates/sites/src/lib.rs
+++ b/crates/sites/src/lib.rs
@@ -290,8 +290,7 @@
     pub fn take_list(&mut self, now: Micros, update: &ListUpdate, out: &mut Vec<Do>) {
         let (entries, whole) = match update {
             ListUpdate::Failed => return,
-            ListUpdate::Full(entries) => (entries, true),
-            ListUpdate::Cached(entries) => (entries, true),
+            ListUpdate::Full(entries) | ListUpdate::Cached(entries) => (entries, true),
             ListUpdate::Delta(entries) => (entries, false),
         };
         if whole {
@@ -321,19 +320,28 @@
 
     /// A site in which most card servers have just started has been lost and is back, though no news told of the loss.
     fn meet_new_processes(&mut self, now: Micros, out: &mut Vec<Do>) {
-        for index in 0..self.places.len() {
-            let cold = |s: &&Server| s.started > 0 && now.saturating_sub(s.started) < self.ramp / 2;
-            let there = || self.servers.values().filter(|s| s.site.0 == index && s.ready);
-            let fresh: f64 = there().filter(cold).map(|s| s.weight).sum();
-            let all: f64 = there().map(|s| s.weight).sum();
-            let place = &mut self.places[index];
+        // Weight of each site's ready card servers that have just started, and of all.
+        let mut weights = vec![(0.0, 0.0); self.places.len()];
+        for server in self.servers.values().filter(|s| s.ready) {
+            let (fresh, all) = &mut weights[server.site.0];
+            *all += server.weight;
+            if server.started > 0 && now.saturating_sub(server.started) < self.ramp / 2 {
+                *fresh += server.weight;
+            }
+        }
+        let mut began = false;
+        for (index, (fresh, all)) in weights.into_iter().enumerate() {
             if fresh > all / 2.0
-                && let Some(change) = place.site.began_anew(now, &self.plan, self.ramp, &mut self.rng)
+                && let Some(change) =
+                    self.places[index].site.began_anew(now, &self.plan, self.ramp, &mut self.rng)
             {
+                began = true;
                 self.changed(now, index, change, out);
             }
         }
-        self.add_claims(now);
+        if began {
+            self.add_claims(now);
+        }
     }
 
     /// An attempt or a probe has ended: the card server gave a sign of life, or none.
@@ -373,7 +381,7 @@
         }
         self.leave -= 1.0;
         let (server, deck) = (server.clone(), deck.cloned());
-        self.book.enter(id, Entry { server, site, deck, units: 1.0, since: now, stands: false });
+        self.book.enter(id, Entry { server, site, deck, units: 1.0, since: now });
     }
 
     /// A session from before this relay's start stands at a card server.
@@ -675,11 +683,9 @@
     /// Brings sessions home, or back from a site that needs its room, within the budget of moves.
     fn move_some(&mut self, now: Micros, out: &mut Vec<Do>) {
         let home = &self.places[self.home.0];
-        let come = match home.site.standing() {
-            Standing::Up { settled } if now >= settled && !self.hearsay => 1.0,
-            _ => 0.0,
-        };
+        let settled = matches!(home.site.standing(), Standing::Up { settled } if now >= settled);
         let room = self.load(self.home, now) < self.plan.home_below;
+        let homing = settled && !self.hearsay && room;
         let crowded = (0..self.places.len()).map(ZoneId).filter(|z| *z != self.home).find(|z| {
             let over = self.load(*z, now) >= self.plan.give_back_at;
             let held = self.book.held(*z, self.plan.deck_cost) * self.plan.session_load;
@@ -688,7 +694,7 @@
                 && self.book.standing_at(*z) > 0
         });
         self.move_bucket.fill(now, self.plan.moves_per_s / self.relays, 1.0);
-        let opens = crowded.is_some() || come > 0.0 && room && self.book.standing() > 0;
+        let opens = crowded.is_some() || homing && self.book.standing() > 0;
         // Guards against all relays using a token that each has saved in the same second.
         if opens && !std::mem::replace(&mut self.moves_open, opens) {
             self.move_bucket.keep(self.rng.random());
@@ -697,7 +703,7 @@
         while self.move_bucket.has() {
             let next = match crowded {
                 Some(site) => self.book.next(Some(site), &self.moving, now, STAYS),
-                None if come > 0.0 && room => self.book.next(None, &self.moving, now, STAYS),
+                None if homing => self.book.next(None, &self.moving, now, STAYS),
                 None => None,
             };
             let Some((deck, id)) = next else { return };
--- a/src/relay/meter.rs
+++ b/src/relay/meter.rs
@@ -117,11 +117,10 @@
     }
 
     pub(super) fn meter_placed(&mut self, attempt: AttemptId, server: &ServerId) {
-        let site = self.zones.get(server).and_then(|zone| self.names.zones().get(zone.0)).cloned();
-        self.meter(|book| {
-            book.add(Family::Retries, 0, u64::from(attempt.0 > 0));
-            book.add_open(Family::Placed, site.as_deref().unwrap_or("none"), 1);
-        });
+        let Some(book) = &mut self.book else { return };
+        let site = self.zones.get(server).and_then(|zone| self.names.zones().get(zone.0));
+        book.add(Family::Retries, 0, u64::from(attempt.0 > 0));
+        book.add_open(Family::Placed, site.map_or("none", String::as_str), 1);
     }
 
     pub(super) fn meter_stands(&mut self, took: Micros) {
--- a/src/relay/sinks.rs
+++ b/src/relay/sinks.rs
@@ -214,11 +214,8 @@
                 if !meter::save(&relay, reading.at).await {
                     continue;
                 }
-                let told = match sink.protocol {
-                    Protocol::Collectd(_) => reading.clone(),
-                    Protocol::GraphiteLines(_) | Protocol::GraphitePickle(_) => told_at(&reading, &mut second),
-                };
-                let told = if relay.borrow().counts_last() { told } else { grown(&sink, told, before.as_ref()) };
+                let lasts = relay.borrow().counts_last();
+                let told = told(&sink, &reading, before.as_ref(), lasts, &mut second);
                 let frames = encode(&sink, &name, &told, &mut link.rng);
                 let count = frames.len();
                 let mut over: Vec<_> = frames.into_iter().flat_map(|(frame, points)| queue.push(frame, points)).collect();
@@ -279,11 +276,18 @@
     }
 }
 
-/// A reading under a second of its own. Guards against two that fall within one second, as ticks come a little early or
-/// late: a store that keeps one point a second would lose the first one's counts.
-fn told_at(reading: &Reading, second: &mut u64) -> Reading {
+/// What a sink is told of a reading. collectd takes it as it is: by its type, a total that starts anew is what it is.
+///
+/// Graphite is told what totals grew by, where they die with the relay, and under a second of its own. Guards against two
+/// readings that fall within one second, as ticks come a little early or late: a store that keeps one point a second
+/// would lose the first one's counts.
+fn told(sink: &Sink, reading: &Reading, before: Option<&Reading>, lasts: bool, second: &mut u64) -> Reading {
+    if matches!(sink.protocol, Protocol::Collectd(_)) {
+        return reading.clone();
+    }
     *second = (reading.at / 1_000_000).max(*second + 1);
-    Reading { at: reading.at.max(*second * 1_000_000), points: reading.points.clone() }
+    let told = if lasts { reading.clone() } else { reading.since(before) };
+    Reading { at: reading.at.max(*second * 1_000_000), ..told }
 }
 
 async fn dial(sink: &Sink) -> io::Result<Line> {
@@ -329,15 +333,6 @@
     }
 }
 
-/// What a sink is told where totals die with the relay: Graphite what they grew by; collectd takes a total that starts
-/// anew for what it is, by its type.
-fn grown(sink: &Sink, reading: Reading, before: Option<&Reading>) -> Reading {
-    match sink.protocol {
-        Protocol::Collectd(_) => reading,
-        Protocol::GraphiteLines(_) | Protocol::GraphitePickle(_) => reading.since(before),
-    }
-}
-
 /// A reading as frames, with the points that each holds.
 fn encode(sink: &Sink, name: &str, reading: &Reading, rng: &mut StdRng) -> Vec<(Vec<u8>, u64)> {
     let prefix = format!("{}.{}", sink.prefix, name.replace('.', "_"));
--- a/src/relay/sites.rs
+++ b/src/relay/sites.rs
@@ -35,6 +35,15 @@
     Ok(Some(sites))
 }
 
+/// Whether an outcome proves that a card server lives, or speaks for its silence; none where it says neither.
+fn sign_of_life(outcome: Outcome) -> Option<bool> {
+    match outcome {
+        Outcome::Ok | Outcome::Error | Outcome::Full => Some(true),
+        Outcome::Timeout | Outcome::ConnectFailed => Some(false),
+        Outcome::Reset | Outcome::Cancelled | Outcome::Moot => None,
+    }
+}
+
 impl Relay {
     /// Tells the sites' part something, if there is one, and does what it wants.
     fn tell_sites(&mut self, tell: impl FnOnce(&mut Sites, Micros, &mut Vec<Do>)) {
@@ -68,6 +77,9 @@
     }
 
     pub(super) fn site_placed(&mut self, id: RequestId, server: &ServerId) {
+        if self.sites.is_none() {
+            return;
+        }
         let deck = self.seats.get(&id).and_then(|s| s.deck.clone());
         self.tell_sites(|sites, now, _| sites.placed(now, id, server, deck.as_ref()));
     }
@@ -87,11 +99,7 @@
     /// jammed one resets sessions and still answers.
     pub(super) fn site_ended(&mut self, id: RequestId, server: &ServerId, outcome: Outcome) {
         let stood = self.seats.get(&id).is_some_and(|s| s.stands);
-        let alive = match outcome {
-            Outcome::Timeout | Outcome::ConnectFailed => Some(false),
-            Outcome::Ok | Outcome::Error | Outcome::Full => Some(true),
-            Outcome::Reset | Outcome::Cancelled | Outcome::Moot => None,
-        };
+        let alive = sign_of_life(outcome);
         self.tell_sites(|sites, now, wants| {
             sites.ended(id);
             if let Some(alive) = alive.filter(|_| !stood) {
@@ -101,11 +109,8 @@
     }
 
     pub(super) fn site_probed(&mut self, server: &ServerId, outcome: Outcome, load: Option<f64>) {
-        let alive = match outcome {
-            Outcome::Ok | Outcome::Error | Outcome::Full => Some(true),
-            Outcome::Timeout | Outcome::ConnectFailed | Outcome::Reset => Some(false),
-            Outcome::Cancelled | Outcome::Moot => None,
-        };
+        // A probe costs next to nothing: one that is reset is no shed session.
+        let alive = if outcome == Outcome::Reset { Some(false) } else { sign_of_life(outcome) };
         self.tell_sites(|sites, now, wants| {
             if let Some(alive) = alive {
                 sites.sign(now, server, alive, wants);
--- a/src/relay/spool.rs
+++ b/src/relay/spool.rs
@@ -1,7 +1,7 @@
 //! A spool: frames that wait on disk for a sink, the oldest first, within a bound.
 //!
-//! Every frame is appended and synced before it is sent, so what waits outlasts the relay. Segments are deleted once all
-//! in them is sent; a relay that returns sends the oldest segment that is left again from its beginning, with the
+//! A frame is synced when it is appended, so what waits here outlasts the relay. Segments are deleted once all in them
+//! is sent; a relay that returns sends the oldest segment that is left again from its beginning, with the
 //! times that its points had, which Graphite stores once. All calls block and are made where they may.
 
 use std::collections::VecDeque;
