A hundred relays act at the pace of four, and a group keeps to one card server

At 2 s 99 of them were moved at once: bring_home() took one a tick at every relay, 5 a second with 4 relays, 500 with 100. They landed on two or three card servers a deck and site: pairs of deck and card server rose from 13 to 55. Each pair costs three sessions' load, so reports went from 0.2-0.9 to 1.0-1.4, 0.6 of the clients were shed (473 times), landed anew, and 172 newcomers were refused.

Ruled out: discovery (all lists held by 8 s, news of the zone in time), processor time (13 ms in the worst second), descriptors (40 of 384). Not yet mended: 690 probe errors and 656 refused connects.

Lines at fault, all of decide.rs, each sound at 4 relays: - group_set(): share of a deck times all card servers, but spent within the own zone; never under 2. - bring_home(): no part of the fleet's pace. - estimate(): one own placement stood for 31. - wave(): one own placement of a second stood for 100. - judge(): one own session stood for 100 there. - survey(): the load of a usual session from one or two own ones. Change: need is reckoned from the own zone's card servers, 1 at the least where relays outnumber card servers; 4 relays a tick bring somebody home, drawn; placements unseen count 2 for an own one at most; shares from few own connections are doubted. `--log trace` tells all that the decisions hear and want.

--- a/crates/decisions/src/decide.rs
+++ b/crates/decisions/src/decide.rs
@@ -44,7 +44,8 @@
 /// ... within these bounds.
 const SPILL_LEAST: f64 = 0.6;
 const SPILL_MOST: f64 = 0.68;
-/// Servers for a group at the least: one alone would take all of a wave that no report shows yet.
+/// Servers for a group at the least, as one alone would take all of a wave that no report shows yet; but one
+/// where balancers outnumber servers: each sees too little of a group to split it, and every split costs.
 const GROUP_SET: usize = 2;
 /// What a connection asked for adds to the own ones of its group: one seen makes the group look larger than
 /// it is at a balancer that sees few.
@@ -57,6 +58,8 @@
 const SETTLE: Micros = 5_000_000;
 /// A request that finds more under way than the fleet has room for waits about this long.
 const WAVE_WAIT: Micros = 400_000;
+/// Own connections by which what they tell of the whole fleet's is doubted while there are few.
+const FEW: f64 = 2.0;
 /// Load at which the split stops sending: bursts of open connections need the rest.
 const FULL: f64 = 0.7;
 /// The dearest class is still placed up to this load.
@@ -67,6 +70,8 @@
 const CROSS_WEIGHT: f64 = 100.0;
 /// How far own placements stand for those that the other balancers made unseen.
 const PEER_SHARE: f64 = 0.3;
+/// ... up to this: of many balancers, one placement of the own tells next to nothing.
+const PEERS_MOST: f64 = 2.0;
 /// Time-outs and failures in a row after which a server gets nothing new.
 const SUSPECT_STRIKES: u32 = 2;
 /// Strikes in a row after which its connections are moved.
@@ -96,6 +101,8 @@
 const HOME_LOAD: f64 = 0.55;
 /// ... and has stood for this long, so that reports show what came before it.
 const STRAY_STAYS: Micros = 2_000_000;
+/// So many balancers a tick bring one home, however many there are: reports must keep up with all of them.
+const HOMERS: f64 = 4.0;
 /// Drain timeout where no drain has been seen to its end.
 const DRAIN_TIMEOUT: Micros = 30_000_000;
 /// Moves begin as if an unknown drain were this much shorter than the timeout: many are.
@@ -115,7 +122,6 @@
 const LEAST_TRY: Micros = 30_000;
 /// Remembered clients, at most.
 const HOMES: usize = 20_000;
-/// Log lines of one balancer, at most.
 const LOG_LINES: u32 = 12;
 /// Load of one connection on a server of weight 1 until reports tell.
 const UNIT_GUESS: f64 = 0.06;
@@ -138,6 +144,7 @@
 impl std::error::Error for SettingsError {}
 
 /// A line of the table, with what this balancer knows of the server.
+#[derive(Default)]
 struct Server {
     entry: ServerEntry,
     hash: u64,
@@ -198,6 +205,7 @@
 }
 
 /// A request, from its arrival to the last word on its attempts.
+#[derive(Default)]
 struct Flow {
     request: Request,
     deadline: Micros,
@@ -239,6 +247,8 @@
     /// Load of a usual connection on a server of weight 1.
     unit: f64,
     ready: usize,
+    /// Those of the own zone among them, or all where zones cost nothing.
+    near: usize,
     /// Usual connections that fit before servers are full; none is known where no report is.
     room: f64,
 }
@@ -324,7 +334,7 @@
             standing: 0,
             under_way: (0.0, now),
             born: now,
-            fleet: Fleet { mean_load: 0.5, unit: UNIT_GUESS, ready: 0, room: f64::INFINITY },
+            fleet: Fleet { mean_load: 0.5, unit: UNIT_GUESS, ready: 0, near: 0, room: f64::INFINITY },
             mean_work: None,
             class_work: vec![None; settings.classes.len()],
             drain_seen: None,
@@ -401,7 +411,6 @@
     }
 
     fn join(&mut self, entry: &ServerEntry) {
-        let phase = self.rng.random::<f64>();
         let mut standing = BTreeSet::new();
         if let Some(known) = self.servers.get_mut(&entry.server) {
             if known.entry.started == entry.started && known.ready() {
@@ -414,20 +423,9 @@
         let server = Server {
             hash: xxh3_64_with_seed(entry.server.0.as_bytes(), 0),
             entry: entry.clone(),
-            load: None,
-            inflight: None,
-            recent: VecDeque::new(),
             standing,
-            strikes: 0,
-            recheck_at: 0,
-            readmitted: None,
-            probe_sent: None,
-            leaving: None,
-            slow_at: None,
-            shed_after: 0,
-            moves: None,
-            cold_phase: phase,
-            cold_used: 0,
+            cold_phase: self.rng.random(),
+            ..Server::default()
         };
         self.servers.insert(entry.server.clone(), server);
     }
@@ -525,6 +523,9 @@
     /// server of the own zone has room by a fresh report; the oldest first, as those have shown to last.
     /// Guards against what was placed before the start, or by need, costing by the second to its end.
     fn bring_home(&mut self, now: Micros, out: &mut Vec<Action>) {
+        if self.rng.random::<f64>() * self.balancers() >= HOMERS {
+            return;
+        }
         let near = self.servers.values().filter(|s| self.far(s) == 1.0 && !s.slow(now));
         let near = near.filter(|s| self.weight(s, now) > 0.0).map(|s| (self.estimate(s, now), s));
         let Some((load, near)) = near.min_by(|a, b| a.0.total_cmp(&b.0)) else { return };
@@ -555,15 +556,8 @@
             deadline: now.saturating_add(request.time_left),
             load: request.hint,
             request,
-            attempts: 0,
-            out: None,
-            tried: BTreeSet::new(),
-            may_have_run: None,
             sent_at: now,
-            held: None,
-            rounds: 0,
-            standing: false,
-            over: false,
+            ..Flow::default()
         }
     }
 
@@ -635,6 +629,10 @@
             }
     }
 
+    fn balancers(&self) -> f64 {
+        f64::from(self.settings.fleet_size.max(1))
+    }
+
     fn class(&self, flow: &Flow) -> Option<&Class> {
         self.settings.classes.get(flow.request.class.0)
     }
@@ -686,7 +684,8 @@
     fn wave(&mut self, now: Micros) -> bool {
         let fade = now.saturating_sub(self.under_way.1) as f64 / REPORT_LAG as f64;
         self.under_way = (self.under_way.0 * (-fade).exp(), now);
-        let placed = self.under_way.0 * f64::from(self.settings.fleet_size.max(1));
+        let own = self.under_way.0;
+        let placed = own * own / (own + FEW) * self.balancers();
         placed > self.fleet.room && self.rng.random::<f64>() > self.fleet.room / placed
     }
 
@@ -821,9 +820,9 @@
     fn finish(&mut self, flow: Flow, out: &mut Vec<Action>) {
         let id = flow.request.id;
         if self.may_refuse(&flow) {
-            let most = self.settings.permissions.max_retry_after;
-            let told = self.settings.permissions.retry_after && most > 0;
-            let retry_after = if told { self.rng.random_range(most / 2..=most) } else { 0 };
+            let permissions = &self.settings.permissions;
+            let most = if permissions.retry_after { permissions.max_retry_after } else { 0 };
+            let retry_after = self.rng.random_range(most / 2..=most);
             out.push(Action::Refuse { id, retry_after });
         } else {
             out.push(Action::Fail(id));
@@ -891,8 +890,7 @@
     }
 
     fn hold_over(&mut self, now: Micros, token: TimerToken, out: &mut Vec<Action>) {
-        let Ok(id) = u32::try_from(token.0.saturating_sub(HOLD_TOKENS)) else { return };
-        let id = RequestId(id);
+        let Ok(id) = u32::try_from(token.0.saturating_sub(HOLD_TOKENS)).map(RequestId) else { return };
         let due = self.flows.get(&id).and_then(|f| f.held.as_ref()).is_some_and(|h| now >= h.until);
         if due {
             self.route(now, id, out);
@@ -980,8 +978,9 @@
         let own = self.groups.get(group).copied().unwrap_or(0) as f64 + GROUP_FIRST;
         let share = own / (self.standing as f64 + GROUP_DOUBT);
         let load = self.fleet.mean_load.max(GROUP_LOAD);
-        let servers = share * self.fleet.ready as f64 * load / SPILL_LEAST;
-        (servers.ceil() as usize).max(GROUP_SET)
+        let servers = share * self.fleet.near as f64 * load / SPILL_LEAST;
+        let many = self.settings.fleet_size as usize > self.fleet.ready;
+        (servers.ceil() as usize).max(if many { 1 } else { GROUP_SET })
     }
 
     /// A server's weight before its load counts: capacity, less where it is doubtful.
@@ -1021,7 +1020,7 @@
         let warmth = self.warmth(server, now);
         // The slots of a cold server hold the other balancers back already.
         let unseen = if warmth < 1.0 { 0.0 } else { PEER_SHARE };
-        let peers = f64::from(self.settings.fleet_size.max(1) - 1) * unseen;
+        let peers = ((self.balancers() - 1.0) * unseen).min(PEERS_MOST);
         let capacity = self.size(server) * warmth;
         base + placed * (1.0 + peers) * self.fleet.unit / capacity
     }
@@ -1049,9 +1048,7 @@
     /// This balancer's share of the pace at which a cold server is filled, before its warmth counts.
     fn cold_rate(&self, server: &Server) -> f64 {
         let holds = self.size(server) / self.fleet.unit.max(1e-6);
-        COLD_MARGIN * holds
-            / self.settings.rules.cold.max(1) as f64
-            / f64::from(self.settings.fleet_size.max(1))
+        COLD_MARGIN * holds / self.settings.rules.cold.max(1) as f64 / self.balancers()
     }
 
     /// How many connections this balancer may have sent to a cold server by now, from a random phase.
@@ -1118,14 +1115,15 @@
             return;
         }
         // Guards against clients left on a jammed server that gets worse, bit by bit, while others are idle.
-        let (room, balancers) = (self.fleet.room, f64::from(self.settings.fleet_size));
+        let room = self.fleet.room * self.fleet.unit;
         let Some(server) = self.servers.get_mut(id) else { return };
         if !server.ready() || now < server.shed_after {
             return;
         }
         let slow = server.slow(now);
-        let roomy = room > balancers * server.standing.len() as f64;
-        let (target, again) = if roomy { (SHED_ROOMY, SHED_AGAIN / 2) } else { (SHED_TARGET, SHED_AGAIN) };
+        let held = server.load.map_or(f64::INFINITY, |(load, _)| load) * server.entry.weight;
+        let (target, again) =
+            if room > held { (SHED_ROOMY, SHED_AGAIN / 2) } else { (SHED_TARGET, SHED_AGAIN) };
         let load = server.load.filter(|(_, at)| now.saturating_sub(*at) < REPORT_LAG).map(|(load, _)| load);
         let part = match load {
             Some(load) if load > SHED_LOAD => 1.0 - target / load,
@@ -1231,7 +1229,9 @@
     fn survey(&mut self, now: Micros) {
         let (mut loads, mut sizes, mut inflight, mut inflight_load) = (0.0, 0.0, 0.0, 0.0);
         let (mut own, mut all_sizes, mut room) = (0usize, 0.0, 0.0);
-        self.fleet.ready = self.servers.values().filter(|s| s.ready()).count();
+        let ready = || self.servers.values().filter(|s| s.ready());
+        let (ready, near) = (ready().count(), ready().filter(|s| self.far(s) == 1.0).count());
+        (self.fleet.ready, self.fleet.near) = (ready, near);
         for server in self.servers.values().filter(|s| s.ready()) {
             own += server.standing.len();
             let size = self.size(server) * self.warmth(server, now);
@@ -1249,11 +1249,12 @@
         if sizes > 0.0 {
             self.fleet.mean_load = loads / sizes;
         }
-        let connections = own as f64 * f64::from(self.settings.fleet_size.max(1));
+        let connections = own as f64 * self.balancers();
         let unit = if inflight >= 1.0 {
             inflight_load / inflight
         } else if own > 0 && sizes > 0.0 && now.saturating_sub(self.born) >= SETTLE {
-            self.fleet.mean_load * all_sizes / connections
+            let doubt = FEW * self.balancers();
+            (self.fleet.mean_load * all_sizes + UNIT_GUESS * doubt) / (connections + doubt)
         } else {
             self.fleet.unit
         };
--- a/crates/decisions/src/interface.rs
+++ b/crates/decisions/src/interface.rs
@@ -7,13 +7,13 @@
 pub type Micros = u64;
 
 /// A request for a connection; never used twice by one balancer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RequestId(pub u32);
 /// The number of an attempt within its request, counted from 0 in the order of [`Action::Place`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct AttemptId(pub u32);
 /// A server's address, the same at every balancer.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ServerId(pub Arc<str>);
 /// What names a client across its reconnections.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -22,7 +22,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct GroupKey(pub Arc<str>);
 /// Index of a class in [`Settings::classes`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ClassId(pub usize);
 /// Index of a tenant in [`Settings::tenants`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -34,6 +34,12 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Reach(u128);
 
+impl Default for Reach {
+    fn default() -> Reach {
+        Reach::EVERYWHERE
+    }
+}
+
 impl Reach {
     /// All zones.
     pub const EVERYWHERE: Reach = Reach(u128::MAX);
@@ -57,7 +63,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct KindId(pub usize);
 /// A cell: servers that share their memory of keys.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct CellId(pub u64);
 /// Names a timer that the balancer asked for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -325,9 +331,10 @@
 }
 
 /// What discovery says of a server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum ServerState {
     /// It takes connections.
+    #[default]
     Ready,
     /// It finishes what it has.
     Draining,
@@ -336,7 +343,7 @@
 }
 
 /// A line of the list.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ServerEntry {
     /// The server.
     pub server: ServerId,
@@ -368,7 +375,7 @@
 }
 
 /// A client's request for a connection.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Request {
     /// Its id.
     pub id: RequestId,
--- a/crates/decisions/tests/decide.rs
+++ b/crates/decisions/tests/decide.rs
@@ -660,3 +660,55 @@
     bench.pass(2 * SECOND);
     assert!(bench.moved().len() > 16, "{} of 40", bench.moved().len());
 }
+
+/// Where there are many balancers, each sees one or two connections. Each once took two servers a group, brought one
+/// home every tick, and took what it had just placed itself for a thirtieth of a wave.
+fn many(size: u32, load: f64) -> Vec<Bench> {
+    let mut settings = Settings { fleet_size: size, zone: Some(ZoneId(0)), ..settings() };
+    settings.prices.cross_zone = 0.2;
+    let names: Vec<String> = (0..12).map(|i| format!("s{i}:1")).collect();
+    let entries =
+        || names.iter().enumerate().map(|(i, n)| ServerEntry { zone: Some(ZoneId(i % 4)), ..ready(n) });
+    let servers: Vec<(&str, Option<f64>)> = names.iter().map(|s| (s.as_str(), Some(load))).collect();
+    let bench = |seed| {
+        let mut bench = Bench::new(settings.clone(), seed, &servers);
+        bench.terse = true;
+        bench.feed(delta(entries().collect()));
+        bench
+    };
+    (0..u64::from(size)).map(bench).collect()
+}
+
+#[test]
+fn a_group_keeps_to_few_servers_however_many_balancers_see_one_of_it() {
+    for size in [100, 400] {
+        let mut used = BTreeMap::new();
+        for bench in &mut many(size, 0.4) {
+            *used.entry(bench.connect(Request { group: group("g"), ..request(1) })).or_insert(0) += 1;
+        }
+        assert_eq!(used.len(), 1, "{size}: {used:?}");
+    }
+}
+
+#[test]
+fn all_balancers_together_bring_home_a_bounded_number() {
+    for size in [4, 100, 400] {
+        let mut moved = 0;
+        for bench in &mut many(size, 0.2) {
+            bench.feed(Event::Adopted(request(1), sid("s1:1")));
+            bench.feed(Event::Adopted(request(2), sid("s2:1")));
+            bench.pass(3 * SECOND);
+            moved += bench.moved().len();
+        }
+        assert!((1..=50).contains(&moved), "{size}: {moved} in the first second in which they may move");
+    }
+}
+
+#[test]
+fn one_own_placement_is_no_wave_where_there_are_many_balancers() {
+    for bench in &mut many(400, 0.3) {
+        let first = bench.connect(Request { group: group("g"), ..request(1) });
+        let second = bench.connect(Request { group: group("g"), ..request(2) });
+        assert_eq!(first, second);
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -23,7 +23,7 @@
 enum Command {
     /// Serve until SIGTERM. The configuration is the file that EDGE_CONFIG names.
     Serve {
-        /// The least level that is logged: error, warn, info or debug.
+        /// The least level that is logged: error, warn, info, debug, or trace (all that the decisions hear and want).
         #[arg(long, default_value = "info", env = "HONEYKNOT_LOG")]
         log: LevelFilter,
         /// How records are written.
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -34,7 +34,7 @@
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::task::LocalSet;
-use tracing::{error, info, warn};
+use tracing::{error, info, trace, warn};
 
 use crate::decide::Balancer;
 use crate::interface::*;
@@ -184,6 +184,7 @@
         let timers = Timers::new(Clock::start());
         let born = timers.clock.now();
         let mut settings = config.settings;
+        trace!(target: "relay", ?settings, "settings");
         let sites = sites::start(config.sites, &mut settings, &config.names, config.seed, born)?;
         let balancer =
             Balancer::new(settings.clone(), config.seed, born).map_err(|e| format!("settings: {e}"))?;
@@ -236,8 +237,10 @@
         self.events.push_back(event);
         let mut actions = Vec::new();
         while let Some(event) = self.events.pop_front() {
+            trace!(target: "told", ?event);
             self.balancer.handle(self.timers.clock.now(), event, &mut actions);
             for action in actions.drain(..) {
+                trace!(target: "wanted", ?action);
                 self.carry_out(action);
             }
         }
