A suspect is probed again at a pace for all relays together, not for each

A card server that answers probes with errors was asked each 0.5 s by every relay that had struck it: 200 a second at 100 relays.

Lines at fault: strike() and the error branch of probed() in decide.rs, RECHECK alone. The wait is now 40 ms for each relay told, 0.5 s at the least as before (up to 12 relays nothing changes), 16 s at the longest, also when doubled. Cost: a card server that is well again is found later, 4 s at 100 relays.

The test sums probes of 4, 100 and 400 relays; without the change it fails at 100 with 3,400 in 20 s.

--- a/crates/decisions/src/decide.rs
+++ b/crates/decisions/src/decide.rs
@@ -80,6 +80,8 @@
 const SILENT_PART: f64 = 0.34;
 /// First wait before a suspect is probed again; it doubles up to 16 times this.
 const RECHECK: Micros = 500_000;
+/// ... or after this for each balancer: all together ask a suspect at a pace that does not grow with them.
+const RECHECK_SHARE: Micros = 40_000;
 /// A server that answers again is led back to its full weight over this time.
 const READMIT: Micros = 3_000_000;
 /// Connections of a silent or jammed server leave over this time.
@@ -629,6 +631,11 @@
             }
     }
 
+    fn recheck(&self, doubled: u32) -> Micros {
+        let all = RECHECK_SHARE * Micros::from(self.settings.fleet_size);
+        (RECHECK.max(all) << doubled).min(RECHECK * 32)
+    }
+
     fn balancers(&self) -> f64 {
         f64::from(self.settings.fleet_size.max(1))
     }
@@ -760,13 +767,10 @@
     /// No server has room by the split. Where nothing is known, or all are doubtful, the best guess is tried.
     fn no_room(&mut self, now: Micros, mut flow: Flow, out: &mut Vec<Action>) {
         let any_ready = self.servers.values().any(|s| s.ready() && !s.suspect());
-        let best = self
-            .servers
-            .values()
-            .filter(|s| s.ready() && !flow.tried.contains(&s.entry.server))
-            .filter(|s| self.may_send(&flow, &s.entry, now) && self.cold_slot_open(s, now))
-            .map(|s| (self.estimate(s, now), s.entry.server.clone()))
-            .min_by(|a, b| a.0.total_cmp(&b.0));
+        let open = self.servers.values().filter(|s| s.ready() && !flow.tried.contains(&s.entry.server));
+        let open = open.filter(|s| self.may_send(&flow, &s.entry, now) && self.cold_slot_open(s, now));
+        let open = open.map(|s| (self.estimate(s, now), s.entry.server.clone()));
+        let best = open.min_by(|a, b| a.0.total_cmp(&b.0));
         match best {
             // Without any report it cannot know that the fleet is full and must not refuse for it.
             Some((_, server)) if !any_ready || self.servers.values().all(|s| s.load.is_none()) => {
@@ -988,9 +992,8 @@
         if !server.ready() || server.suspect() || !self.cold_slot_open(server, now) {
             return 0.0;
         }
-        let back = server
-            .readmitted
-            .map_or(1.0, |at| (now.saturating_sub(at) as f64 / READMIT as f64).clamp(0.1, 1.0));
+        let led_back = |at| (now.saturating_sub(at) as f64 / READMIT as f64).clamp(0.1, 1.0);
+        let back = server.readmitted.map_or(1.0, led_back);
         // A probe that is not answered when it should be is a bad sign already.
         let doubt =
             if server.probe_sent.is_some_and(|at| now.saturating_sub(at) >= HOLD) { 0.2 } else { 1.0 };
@@ -1095,10 +1098,11 @@
 
     /// A failure that may mean the server is silent: it is asked at once whether it lives.
     fn strike(&mut self, now: Micros, id: &ServerId, out: &mut Vec<Action>) {
+        let strikes = self.servers.get(id).map_or(0, |s| s.strikes + 1);
+        let recheck = self.recheck(strikes.saturating_sub(SILENT_STRIKES).min(5));
         let Some(server) = self.servers.get_mut(id) else { return };
-        server.strikes += 1;
-        let beyond = server.strikes.saturating_sub(SILENT_STRIKES).min(5);
-        server.recheck_at = now + (RECHECK << beyond);
+        server.strikes = strikes;
+        server.recheck_at = now + recheck;
         if self.settings.permissions.probes && server.ready() && server.strikes < SILENT_STRIKES {
             server.probe(now, out);
         }
@@ -1147,7 +1151,8 @@
             Outcome::Ok => self.alive(now, &id),
             // It answers: guards against moving away what stands there and is served.
             Outcome::Error if self.servers.get(&id).is_some_and(|s| s.strikes + 1 >= SILENT_STRIKES) => {
-                self.servers.entry(id.clone()).and_modify(|s| s.recheck_at = now + RECHECK);
+                let recheck_at = now + self.recheck(0);
+                self.servers.entry(id.clone()).and_modify(|s| s.recheck_at = recheck_at);
             }
             // Turned away by the cap on probes: no sign of ill health.
             Outcome::Full | Outcome::Cancelled | Outcome::Moot => {}
@@ -1159,15 +1164,11 @@
                 self.judge(now, &id, out);
             }
         }
-        let mut ready = Vec::new();
-        for held in &self.held {
-            if let Some(hold) = self.flows.get_mut(held).and_then(|f| f.held.as_mut())
-                && hold.probes.remove(&id)
-                && hold.probes.is_empty()
-            {
-                ready.push(*held);
-            }
-        }
+        let mut answered = |held: &RequestId| {
+            let hold = self.flows.get_mut(held).and_then(|f| f.held.as_mut());
+            hold.is_some_and(|h| h.probes.remove(&id) && h.probes.is_empty())
+        };
+        let ready: Vec<RequestId> = self.held.iter().filter(|held| answered(held)).copied().collect();
         for request in ready {
             self.route(now, request, out);
         }
@@ -1186,8 +1187,8 @@
                 }
             }
             Note::Delay(ms) => {
-                let aims = self.settings.classes.iter().map(|c| c.message_aim).filter(|aim| *aim > 0);
-                let aim = aims.min().unwrap_or(Micros::MAX);
+                let aims = self.settings.classes.iter().map(|c| c.message_aim);
+                let aim = aims.filter(|aim| *aim > 0).min().unwrap_or(Micros::MAX);
                 let Some(server) = self.servers.get_mut(&at) else { return };
                 if ms * 1e3 < aim as f64 * 0.5 {
                     server.slow_at = None;
--- a/crates/decisions/tests/decide.rs
+++ b/crates/decisions/tests/decide.rs
@@ -712,3 +712,25 @@
         assert_eq!(first, second);
     }
 }
+
+#[test]
+fn a_suspect_is_probed_at_a_pace_for_all_balancers_together() {
+    for size in [4, 100, 400] {
+        let mut probes = 0;
+        for bench in &mut many(size, 0.3) {
+            bench.errs = Some(sid("s1:1"));
+            let error = || Event::Probed {
+                server: sid("s1:1"),
+                outcome: Outcome::Error,
+                elapsed: 1_000,
+                report: None,
+            };
+            (0..3).for_each(|_| bench.feed(error()));
+            bench.pass(SECOND);
+            let before = bench.probes;
+            bench.pass(20 * SECOND);
+            probes += bench.probes - before;
+        }
+        assert!((1..=600).contains(&probes), "{size}: {probes} probes in 20 s");
+    }
+}
