--- a/crates/decisions/src/decide.rs
+++ b/crates/decisions/src/decide.rs
@@ -78,7 +78,7 @@
 const SILENT_STRIKES: u32 = 4;
 /// At most this part of the ready servers may be held silent; beyond it the fault lies elsewhere.
 const SILENT_PART: f64 = 0.34;
-/// First wait before a suspect is probed again; it doubles up to 16 times this.
+/// First wait before a suspect is probed again; it doubles up to 32 times this.
 const RECHECK: Micros = 500_000;
 /// ... or after this for each balancer: all together ask a suspect at a pace that does not grow with them.
 const RECHECK_SHARE: Micros = 40_000;
@@ -124,6 +124,7 @@
 const LEAST_TRY: Micros = 30_000;
 /// Remembered clients, at most.
 const HOMES: usize = 20_000;
+/// Log lines of one balancer, at most.
 const LOG_LINES: u32 = 12;
 /// Load of one connection on a server of weight 1 until reports tell.
 const UNIT_GUESS: f64 = 0.06;
@@ -191,6 +192,10 @@
         }
     }
 
+    fn size(&self) -> f64 {
+        if self.entry.weight.is_finite() { self.entry.weight.max(1e-3) } else { 1.0 }
+    }
+
     fn fresh(&self, now: Micros) -> bool {
         self.load.is_some_and(|(_, at)| now.saturating_sub(at) < FRESH)
     }
@@ -301,6 +306,12 @@
     (-(now.saturating_sub(at) as f64) / TRUST_TIME).exp()
 }
 
+/// Wait before a suspect is probed again, doubled so many times.
+fn recheck(settings: &Settings, doubled: u32) -> Micros {
+    let all = RECHECK_SHARE * Micros::from(settings.fleet_size);
+    (RECHECK.max(all) << doubled).min(RECHECK * 32)
+}
+
 /// Moves a running mean a little towards a new value.
 fn blend(mean: &mut Option<f64>, value: f64) {
     if value.is_finite() && value >= 0.0 {
@@ -631,11 +642,6 @@
             }
     }
 
-    fn recheck(&self, doubled: u32) -> Micros {
-        let all = RECHECK_SHARE * Micros::from(self.settings.fleet_size);
-        (RECHECK.max(all) << doubled).min(RECHECK * 32)
-    }
-
     fn balancers(&self) -> f64 {
         f64::from(self.settings.fleet_size.max(1))
     }
@@ -997,7 +1003,7 @@
         // A probe that is not answered when it should be is a bad sign already.
         let doubt =
             if server.probe_sent.is_some_and(|at| now.saturating_sub(at) >= HOLD) { 0.2 } else { 1.0 };
-        self.size(server) * back * doubt
+        server.size() * back * doubt
     }
 
     /// How much the price of crossing zones slows a server down in the race.
@@ -1008,10 +1014,6 @@
         }
     }
 
-    fn size(&self, server: &Server) -> f64 {
-        if server.entry.weight.is_finite() { server.entry.weight.max(1e-3) } else { 1.0 }
-    }
-
     /// Load over capacity as it probably is now: the report as far as its age lets it be trusted, the fleet's
     /// mean for the rest, and what has been placed since.
     fn estimate(&self, server: &Server, now: Micros) -> f64 {
@@ -1024,7 +1026,7 @@
         // The slots of a cold server hold the other balancers back already.
         let unseen = if warmth < 1.0 { 0.0 } else { PEER_SHARE };
         let peers = ((self.balancers() - 1.0) * unseen).min(PEERS_MOST);
-        let capacity = self.size(server) * warmth;
+        let capacity = server.size() * warmth;
         base + placed * (1.0 + peers) * self.fleet.unit / capacity
     }
 
@@ -1050,7 +1052,7 @@
 
     /// This balancer's share of the pace at which a cold server is filled, before its warmth counts.
     fn cold_rate(&self, server: &Server) -> f64 {
-        let holds = self.size(server) / self.fleet.unit.max(1e-6);
+        let holds = server.size() / self.fleet.unit.max(1e-6);
         COLD_MARGIN * holds / self.settings.rules.cold.max(1) as f64 / self.balancers()
     }
 
@@ -1098,11 +1100,10 @@
 
     /// A failure that may mean the server is silent: it is asked at once whether it lives.
     fn strike(&mut self, now: Micros, id: &ServerId, out: &mut Vec<Action>) {
-        let strikes = self.servers.get(id).map_or(0, |s| s.strikes + 1);
-        let recheck = self.recheck(strikes.saturating_sub(SILENT_STRIKES).min(5));
         let Some(server) = self.servers.get_mut(id) else { return };
-        server.strikes = strikes;
-        server.recheck_at = now + recheck;
+        server.strikes += 1;
+        let beyond = server.strikes.saturating_sub(SILENT_STRIKES).min(5);
+        server.recheck_at = now + recheck(&self.settings, beyond);
         if self.settings.permissions.probes && server.ready() && server.strikes < SILENT_STRIKES {
             server.probe(now, out);
         }
@@ -1125,7 +1126,7 @@
             return;
         }
         let slow = server.slow(now);
-        let held = server.load.map_or(f64::INFINITY, |(load, _)| load) * server.entry.weight;
+        let held = server.load.map_or(f64::INFINITY, |(load, _)| load) * server.size();
         let (target, again) =
             if room > held { (SHED_ROOMY, SHED_AGAIN / 2) } else { (SHED_TARGET, SHED_AGAIN) };
         let load = server.load.filter(|(_, at)| now.saturating_sub(*at) < REPORT_LAG).map(|(load, _)| load);
@@ -1151,8 +1152,8 @@
             Outcome::Ok => self.alive(now, &id),
             // It answers: guards against moving away what stands there and is served.
             Outcome::Error if self.servers.get(&id).is_some_and(|s| s.strikes + 1 >= SILENT_STRIKES) => {
-                let recheck_at = now + self.recheck(0);
-                self.servers.entry(id.clone()).and_modify(|s| s.recheck_at = recheck_at);
+                let again = now + recheck(&self.settings, 0);
+                self.servers.entry(id.clone()).and_modify(|s| s.recheck_at = again);
             }
             // Turned away by the cap on probes: no sign of ill health.
             Outcome::Full | Outcome::Cancelled | Outcome::Moot => {}
@@ -1229,13 +1230,12 @@
     /// Sums up what the reports say of the fleet.
     fn survey(&mut self, now: Micros) {
         let (mut loads, mut sizes, mut inflight, mut inflight_load) = (0.0, 0.0, 0.0, 0.0);
-        let (mut own, mut all_sizes, mut room) = (0usize, 0.0, 0.0);
-        let ready = || self.servers.values().filter(|s| s.ready());
-        let (ready, near) = (ready().count(), ready().filter(|s| self.far(s) == 1.0).count());
-        (self.fleet.ready, self.fleet.near) = (ready, near);
+        let (mut ready, mut near, mut own, mut all_sizes, mut room) = (0, 0, 0usize, 0.0, 0.0);
         for server in self.servers.values().filter(|s| s.ready()) {
+            ready += 1;
+            near += usize::from(self.far(server) == 1.0);
             own += server.standing.len();
-            let size = self.size(server) * self.warmth(server, now);
+            let size = server.size() * self.warmth(server, now);
             all_sizes += size;
             let Some((load, at)) = server.load else { continue };
             let trust = trust(at, now);
@@ -1247,15 +1247,15 @@
             }
             room += (FULL - load).max(0.0) * size;
         }
+        (self.fleet.ready, self.fleet.near) = (ready, near);
         if sizes > 0.0 {
             self.fleet.mean_load = loads / sizes;
         }
-        let connections = own as f64 * self.balancers();
         let unit = if inflight >= 1.0 {
             inflight_load / inflight
         } else if own > 0 && sizes > 0.0 && now.saturating_sub(self.born) >= SETTLE {
-            let doubt = FEW * self.balancers();
-            (self.fleet.mean_load * all_sizes + UNIT_GUESS * doubt) / (connections + doubt)
+            let own_load = self.fleet.mean_load * all_sizes / self.balancers();
+            (own_load + UNIT_GUESS * FEW) / (own as f64 + FEW)
         } else {
             self.fleet.unit
         };
