--- a/crates/decisions/src/decide.rs
+++ b/crates/decisions/src/decide.rs
@@ -386,6 +386,11 @@
         }
     }
 
+    /// Servers that are listed as ready and get nothing new, as they look ill.
+    pub fn suspects(&self) -> impl Iterator<Item = &ServerId> {
+        self.servers.values().filter(|s| s.ready() && s.suspect()).map(|s| &s.entry.server)
+    }
+
     // ---- The table ---------------------------------------------------------------------------------------
 
     fn take_list(&mut self, now: Micros, update: ListUpdate, out: &mut Vec<Action>) {
@@ -583,9 +588,7 @@
 
     fn adopt(&mut self, now: Micros, request: Request, server: ServerId) {
         let id = request.id;
-        let mut flow = self.flow(now, request);
-        flow.attempts = 1;
-        flow.out = Some(server.clone());
+        let flow = Flow { attempts: 1, out: Some(server.clone()), ..self.flow(now, request) };
         self.flows.insert(id, flow);
         self.established(now, id, server);
     }
@@ -756,10 +759,7 @@
 
     /// Where this client's connection was last, if it may go there.
     fn home(&self, flow: &Flow, now: Micros) -> Option<ServerId> {
-        let key = flow.request.key.as_ref()?;
-        if self.moved.contains_key(key) {
-            return None;
-        }
+        let key = flow.request.key.as_ref().filter(|key| !self.moved.contains_key(*key))?;
         let (id, _) = self.homes.get(key)?;
         let server = self.servers.get(id)?;
         let grace = self.settings.rules.drain_grace / 2;
@@ -812,9 +812,7 @@
             server.recent.push_back((now, units));
             server.cold_used = server.cold_used.max(slot);
         }
-        if let Some(key) = &flow.request.key {
-            self.moved.remove(key);
-        }
+        let _ = flow.request.key.as_ref().map(|key| self.moved.remove(key));
         let aim = self.class(&flow).map_or(flow.request.time_left, |c| c.aim).max(LEAST_TRY);
         let timeout = aim.min(flow.deadline.saturating_sub(now)).max(1);
         self.under_way.0 += units;
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -7,5 +7,7 @@
 
 pub mod decide;
 pub mod interface;
+pub mod withheld;
 
 pub use decide::Balancer;
+pub use withheld::Withheld;
--- a/crates/gauges/src/book.rs
+++ b/crates/gauges/src/book.rs
@@ -64,6 +64,8 @@
     fixed: Vec<Vec<Cell>>,
     open: BTreeMap<(usize, String), Cell>,
     cap: usize,
+    /// What of the totals of open tags is of earlier lives.
+    earlier: BTreeMap<(usize, String), u64>,
 }
 
 fn cell(kind: Kind) -> Cell {
@@ -107,7 +109,7 @@
             ("", _) => vec![cell(name.kind)],
             (_, count) => (0..count).map(|_| cell(name.kind)).collect(),
         });
-        Book { fixed: fixed.collect(), open: BTreeMap::new(), cap }
+        Book { fixed: fixed.collect(), open: BTreeMap::new(), cap, earlier: BTreeMap::new() }
     }
 
     fn cell(&mut self, family: Family, place: usize) -> Option<&mut Cell> {
@@ -129,6 +131,21 @@
         }
     }
 
+    /// Has a total of an open tag stand from now on, whatever the cap: for values that the settings name.
+    pub fn open(&mut self, family: Family, value: &str) {
+        self.open.entry((family as usize, value.to_owned())).or_insert(Cell::Total(0));
+    }
+
+    /// A total of an open tag as this life alone has counted it.
+    pub fn own_total(&self, family: Family, value: &str) -> u64 {
+        let key = (family as usize, value.to_owned());
+        let total = match self.open.get(&key) {
+            Some(Cell::Total(total)) => *total,
+            _ => 0,
+        };
+        total.saturating_sub(self.earlier.get(&key).copied().unwrap_or(0))
+    }
+
     /// Adds to a total of an open tag.
     pub fn add_open(&mut self, family: Family, value: &str, count: u64) {
         self.add_value(family as usize, value, count);
@@ -211,7 +228,10 @@
                         *held = held.saturating_add(total.total);
                     }
                 }
-                None if name.values.is_empty() => self.add_value(place, &total.value, total.total),
+                None if name.values.is_empty() => {
+                    *self.earlier.entry((place, total.value.clone())).or_insert(0) += total.total;
+                    self.add_value(place, &total.value, total.total);
+                }
                 None => unknown += 1,
             }
         }
--- a/crates/gauges/src/names.rs
+++ b/crates/gauges/src/names.rs
@@ -71,6 +71,10 @@
     RollFailures = "roll_failures", Total, "calls", "", [], "Calls to discovery that brought nothing";
     Dropped = "dropped_points", Total, "points", "", [], "Points that a sink never got";
     Placed = "placed", Total, "attempts", "site", [], "Attempts by the card server's site";
+    Succeeded = "succeeded", Total, "connections", "class", [], "Connections that were brought up";
+    Declined = "declined", Total, "connections", "class", [], "Connections of a known class that were refused";
+    Aborted = "aborted", Total, "connections", "class", [], "Connections of a known class that failed, or whose client left first";
+    Forwards = "forwards", Total, "attempts", "class", [], "Attempts that were written whole to a card server";
     Sessions = "sessions", Gauge, "sessions", "", [], "Sessions that stand";
     Asking = "asking", Gauge, "requests", "", [], "Requests without an answer yet";
     Descriptors = "descriptors", Gauge, "descriptors", "", [], "Descriptors in use";
--- /dev/null
+++ b/src/admin/mod.rs
@@ -0,0 +1,121 @@
+//! The operators' address: one call a connection, one answer, close.
+//!
+//! It decides nothing and counts nothing: calls are parsed in [`call`], answers come from the relay's own state.
+
+pub mod call;
+
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::AbortHandle;
+use tracing::warn;
+
+use crate::interface::{Micros, ServerId};
+use crate::relay::{Shared, session};
+use call::{Bad, Call};
+
+/// Callers at a time. Their descriptors are kept out of what sessions and the crowd may hold.
+pub const CALLERS: usize = 16;
+/// Descriptors that the address takes at the most.
+pub const DESCRIPTORS: usize = CALLERS + 2;
+/// A caller who has not brought a whole call by now is ended.
+const PATIENCE: Micros = 5_000_000;
+/// A caller younger than this does not make room: it may just not have been read yet.
+const NEW: Micros = 200_000;
+/// Pause after an accept that failed.
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// Who holds a connection, by age; ended callers are taken out when the next one comes.
+type Callers = VecDeque<(AbortHandle, Micros)>;
+
+/// Answers calls until the relay ends.
+pub async fn serve(relay: Shared, listener: TcpListener) {
+    let timers = relay.borrow().timers.clone();
+    let callers: Rc<RefCell<Callers>> = Rc::default();
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(why) => {
+                warn!(target: "admin", %why, "cannot accept");
+                tokio::time::sleep(PAUSE).await;
+                continue;
+            }
+        };
+        callers.borrow_mut().retain(|(task, _)| !task.is_finished());
+        if callers.borrow().len() >= CALLERS {
+            // Guards against callers that hold connections and say nothing: whoever has had longest makes room.
+            let oldest = callers.borrow_mut().pop_front();
+            if let Some((task, since)) = oldest {
+                timers.until(since + NEW).await;
+                task.abort();
+            }
+        }
+        let task = tokio::task::spawn_local(answer(relay.clone(), stream));
+        callers.borrow_mut().push_back((task.abort_handle(), timers.clock.now()));
+        // It is read before another can take its place.
+        tokio::task::yield_now().await;
+    }
+}
+
+/// One caller: its call, the answer, the end.
+async fn answer(relay: Shared, mut stream: TcpStream) {
+    let timers = relay.borrow().timers.clone();
+    let _ = stream.set_nodelay(true);
+    let mut bytes = Vec::with_capacity(call::LONGEST);
+    let call = tokio::select! {
+        call = read(&mut stream, &mut bytes) => call,
+        () = timers.nap(PATIENCE) => Some(Err(Bad::CutShort)),
+    };
+    let Some(call) = call else { return };
+    let answer = match call {
+        Ok(call) => carry_out(&relay, call),
+        Err(why) => format!("NO {why}\n"),
+    };
+    // Callers get the line ends that they use.
+    let crlf = bytes.contains(&b'\r');
+    let answer = if crlf { answer.replace('\n', "\r\n") } else { answer };
+    let sent = tokio::select! {
+        sent = stream.write_all(answer.as_bytes()) => sent.is_ok(),
+        () = timers.nap(PATIENCE) => false,
+    };
+    if sent {
+        session::end(&timers, stream).await;
+    }
+}
+
+/// Reads one call; none if the caller left without a word.
+async fn read(stream: &mut TcpStream, bytes: &mut Vec<u8>) -> Option<Result<Call, Bad>> {
+    loop {
+        if let Some(call) = call::take(bytes) {
+            return Some(call);
+        }
+        match stream.read_buf(bytes).await {
+            Ok(0) if !bytes.is_empty() => return Some(Err(Bad::CutShort)),
+            Ok(0) | Err(_) => return None,
+            Ok(_) => {}
+        }
+    }
+}
+
+fn carry_out(relay: &Shared, call: Call) -> String {
+    let yes_or_no = |done: Result<(), String>| match done {
+        Ok(()) => "YES\n".to_owned(),
+        Err(why) => format!("NO {why}\n"),
+    };
+    match call {
+        Call::Status => yes_or_no(relay.borrow().can_serve().map_err(str::to_owned)),
+        Call::Stats => format!("{}\nEND\n", relay.borrow().figures()),
+        Call::MaintOn(id) => {
+            let done = relay.borrow_mut().take_out(&ServerId(id.as_str().into()));
+            yes_or_no(done.map_err(|_| format!("no card server has the id {id}")))
+        }
+        Call::MaintOff(id) => {
+            let done = relay.borrow_mut().put_back(&ServerId(id.as_str().into()));
+            yes_or_no(done.map_err(|_| format!("no card server has the id {id}")))
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,9 +1,10 @@
 #![forbid(unsafe_code)]
 #![doc = include_str!("../README.md")]
 
+pub mod admin;
 pub mod inspect;
 pub mod logger;
 pub mod relay;
 pub mod wire;
 
-pub use honeyknot_decisions::{Balancer, decide, interface};
+pub use honeyknot_decisions::{Balancer, Withheld, decide, interface};
--- a/src/main.rs
+++ b/src/main.rs
@@ -72,6 +72,9 @@
     println!("relay {} listens on {}, discovery at {}", config.name, config.listen, config.discovery);
     let known = config.known.as_ref().map_or(0, |k| k.entries.len());
     println!("{} descriptors, {known} card servers known", config.sockets);
+    if let Some(admin) = config.admin {
+        println!("operators call at {admin}");
+    }
     if let Some(plan) = &config.sites {
         let (limit, leave) = (plan.spill_limit * 100.0, plan.leave_limit * 100.0);
         println!("sites: spill up to {limit}% of a site, {leave}% of newcomers may leave theirs");
--- a/src/relay/config.rs
+++ b/src/relay/config.rs
@@ -61,6 +61,8 @@
     pub listen: SocketAddr,
     /// Where discovery answers.
     pub discovery: SocketAddr,
+    /// Where operators call; nobody can where it is not given.
+    pub admin: Option<SocketAddr>,
     /// Seeds the decisions' random numbers.
     pub seed: u64,
     /// Descriptors that the process may hold.
@@ -118,6 +120,18 @@
             let text = word(name, variable)?;
             address(&text).ok_or_else(|| format!("`{name}` is no address: {text}"))
         };
+        let admin = var("EDGE_ADMIN_ADDR").or_else(|| Some(value.get("admin_addr")?.as_str()?.to_owned()));
+        let admin = match (admin, value.get("admin_addr")) {
+            (Some(text), _) => {
+                Some(address(&text).ok_or_else(|| format!("`admin_addr` is no address: {text}"))?)
+            }
+            (None, None | Some(Value::Null)) => None,
+            (None, Some(other)) => return Err(format!("`admin_addr` is no address: {other}")),
+        };
+        let listen = dialled("listen", "EDGE_LISTEN")?;
+        if admin == Some(listen) {
+            return Err(format!("`admin_addr` is where clients connect: {listen}"));
+        }
         let seed = value.get("seed").and_then(Value::as_str).ok_or("`seed` is missing")?;
         let seed = u64::from_str_radix(seed, 16).map_err(|_| format!("`seed` is no hex number: {seed}"))?;
         let sockets = match value.pointer("/limits/sockets") {
@@ -129,8 +143,9 @@
         let known = known.map(|v| read_roll(v, &names)).transpose().map_err(|e| format!("`known`: {e}"))?;
         Ok(Config {
             name: word("name", "EDGE_NAME")?,
-            listen: dialled("listen", "EDGE_LISTEN")?,
+            listen,
             discovery: dialled("discovery", "EDGE_DISCOVERY")?,
+            admin,
             seed,
             sockets: usize::try_from(sockets).unwrap_or(usize::MAX),
             known,
--- /dev/null
+++ b/src/relay/held.rs
@@ -0,0 +1,122 @@
+//! The server roll as the relay holds it: as discovery tells it, but for card servers that operators have taken out.
+
+use std::collections::btree_map::Entry;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use honeyknot_decisions::withheld::Unknown;
+use honeyknot_gauges::Family;
+use tracing::{info, warn};
+
+use super::Relay;
+use super::roll::RollNews;
+use crate::interface::*;
+
+impl Relay {
+    pub(super) fn take_known(&mut self, news: RollNews) {
+        let update = ListUpdate::Cached(self.note_roll(news));
+        self.site_news(&update);
+        self.feed(Event::Servers { version: self.version, update });
+    }
+
+    /// News of the server roll. They are applied before anything else is sent.
+    pub fn take_roll(&mut self, news: RollNews) {
+        if std::mem::take(&mut self.roll_trouble) {
+            info!(target: "roll", version = news.version, "discovery answers again");
+        }
+        self.roll_heard = self.timers.clock.now();
+        let whole = news.whole;
+        let entries = self.note_roll(news);
+        let update = if whole { ListUpdate::Full(entries) } else { ListUpdate::Delta(entries) };
+        self.site_news(&update);
+        self.feed(Event::Servers { version: self.version, update });
+    }
+
+    fn note_roll(&mut self, news: RollNews) -> Arc<Vec<ServerEntry>> {
+        self.version = news.version;
+        self.addresses.extend(news.addresses);
+        let entries = self.withheld.news(news.entries, news.whole);
+        self.note_entries(entries, news.whole)
+    }
+
+    /// Notes a roll, or changes of it, as the decisions are to see it.
+    fn note_entries(&mut self, entries: Vec<ServerEntry>, whole: bool) -> Arc<Vec<ServerEntry>> {
+        let now = self.timers.clock.now();
+        let mut drains = 0;
+        for entry in &entries {
+            self.zones.extend(entry.zone.map(|zone| (entry.server.clone(), zone)));
+            if entry.state == ServerState::Ready {
+                self.leaving.remove(&entry.server);
+            } else if let Entry::Vacant(leaving) = self.leaving.entry(entry.server.clone()) {
+                leaving.insert(now);
+                drains += u64::from(entry.state == ServerState::Draining);
+            }
+        }
+        self.meter(|book| book.add(Family::Drains, 0, drains));
+        if whole {
+            let named = |id: &ServerId| entries.iter().any(|e| e.server == *id);
+            let lost: Vec<ServerId> = self.addresses.keys().filter(|id| !named(id)).cloned().collect();
+            for id in lost {
+                self.leaving.entry(id).or_insert(now);
+            }
+        }
+        // A probe of a card server that is gone has nothing left to ask.
+        let gone = entries.iter().filter(|e| e.state == ServerState::Gone);
+        gone.for_each(|e| drop(self.probes.remove(&e.server)));
+        Arc::new(entries)
+    }
+
+    /// Takes a card server out by hand. When this returns, nothing new goes there.
+    pub fn take_out(&mut self, id: &ServerId) -> Result<(), Unknown> {
+        let seen = self.withheld.take_out(id)?;
+        self.show(seen);
+        Ok(())
+    }
+
+    /// Puts a card server back that was taken out by hand.
+    pub fn put_back(&mut self, id: &ServerId) -> Result<(), Unknown> {
+        let seen = self.withheld.put_back(self.timers.clock.now(), id)?;
+        self.show(seen);
+        Ok(())
+    }
+
+    /// Whether a card server is out by hand.
+    pub fn withholds(&self, id: &ServerId) -> bool {
+        self.withheld.holds(id)
+    }
+
+    /// Tells the decisions what operators have changed of a card server.
+    fn show(&mut self, seen: Option<ServerEntry>) {
+        let Some(entry) = seen else { return };
+        info!(target: "admin", server = &*entry.server.0, state = ?entry.state, "by hand");
+        let update = ListUpdate::Delta(self.note_entries(vec![entry], false));
+        self.site_news(&update);
+        self.feed(Event::Servers { version: self.version, update });
+    }
+
+    /// A call to discovery failed.
+    pub fn roll_failed(&mut self, why: &str) {
+        if !std::mem::replace(&mut self.roll_trouble, true) {
+            warn!(target: "roll", why, "discovery does not answer");
+        }
+        self.meter(|book| book.add(Family::RollFailures, 0, 1));
+        self.feed(Event::Servers { version: self.version, update: ListUpdate::Failed });
+    }
+
+    /// The version of the roll that is held.
+    pub fn roll_version(&self) -> u64 {
+        self.version
+    }
+
+    /// Where this relay reaches a card server.
+    pub fn address(&self, server: &ServerId) -> Option<SocketAddr> {
+        self.addresses.get(server).copied()
+    }
+
+    /// Whether a head may still be written to a card server. Guards against an attempt that was placed before
+    /// the news of a drain and connects long after it.
+    pub fn may_still_send(&self, server: &ServerId) -> bool {
+        let grace = self.settings.rules.drain_grace / 2;
+        self.leaving.get(server).is_none_or(|told| self.timers.clock.now() < told + grace)
+    }
+}
--- a/src/relay/meter.rs
+++ b/src/relay/meter.rs
@@ -3,12 +3,15 @@
 use std::io;
 use std::path::{Path, PathBuf};
 
-use honeyknot_gauges::{Book, Family, Reading};
+use honeyknot_gauges::{Book, Family, Plan, Reading};
+use serde_json::json;
 use tracing::{info, warn};
 
 use super::lasting::Folder;
+use super::lines::SessionHead;
 use super::{Relay, Shared};
 use crate::interface::*;
+use crate::wire::Names;
 
 /// The tag's value of an outcome.
 fn outcome_word(outcome: Outcome) -> &'static str {
@@ -24,6 +27,31 @@
     }
 }
 
+/// Values of an open tag where no operator file says how many there may be.
+const CAP: usize = 256;
+/// The families whose tag is the class.
+const BY_CLASS: [Family; 4] = [Family::Succeeded, Family::Declined, Family::Aborted, Family::Forwards];
+
+/// A relay's book, in which all classes stand from the start.
+pub fn open(plan: &Option<Plan>, names: &Names) -> Book {
+    let mut book = Book::new(plan.as_ref().map_or(CAP, |plan| plan.cap));
+    for class in names.classes() {
+        BY_CLASS.iter().for_each(|family| book.open(*family, class));
+    }
+    book
+}
+
+/// How a connection that asked for a session was answered.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Answer {
+    /// The card server's `UP`.
+    Up,
+    /// `BUSY`.
+    Busy,
+    /// Anything else, or nothing as the client left first.
+    Failed,
+}
+
 /// What keeps the counts over the relay's lives.
 pub struct Lasting {
     folder: Folder,
@@ -40,7 +68,7 @@
         let mut relay = relay.borrow_mut();
         let now = relay.timers.clock.now();
         let Relay { book, lasting, .. } = &mut *relay;
-        let (Some(book), Some(lasting)) = (book, lasting) else { return true };
+        let Some(lasting) = lasting else { return true };
         if lasting.saved >= upto {
             return true;
         }
@@ -77,7 +105,7 @@
         match Folder::open(path, name) {
             Ok((folder, state)) => {
                 let lives = state.as_ref().map_or(1, |s| s.lives + 1);
-                let unknown = state.map_or(0, |s| self.book.as_mut().map_or(0, |book| book.restore(&s)));
+                let unknown = state.map_or(0, |s| self.book.restore(&s));
                 info!(target: "metrics", lives, unknown, "counts are kept");
                 let relay = name.to_owned();
                 self.lasting = Some(Lasting { folder, relay, lives, saved: 0, trouble: false });
@@ -96,10 +124,38 @@
         self.lasting.is_some()
     }
 
-    /// Counts something, where metrics are on.
+    /// Counts something.
     pub(super) fn meter(&mut self, count: impl FnOnce(&mut Book)) {
-        if let Some(book) = &mut self.book {
-            count(book);
+        count(&mut self.book);
+    }
+
+    /// The one answer to a connection whose class is known.
+    pub(super) fn meter_answer(&mut self, class: Option<ClassId>, answer: Answer) {
+        let family = match answer {
+            Answer::Up => Family::Succeeded,
+            Answer::Busy => Family::Declined,
+            Answer::Failed => Family::Aborted,
+        };
+        self.meter_class(class, family);
+    }
+
+    /// The one answer to a connection that never took a seat.
+    pub fn meter_head(&mut self, head: &SessionHead, answer: Answer) {
+        self.meter_answer(self.class(head), answer);
+    }
+
+    /// A head was written whole to a card server.
+    pub fn meter_sent(&mut self, head: &SessionHead) {
+        self.meter_class(self.class(head), Family::Forwards);
+    }
+
+    fn class(&self, head: &SessionHead) -> Option<ClassId> {
+        self.names.class(head.class()?)
+    }
+
+    fn meter_class(&mut self, class: Option<ClassId>, family: Family) {
+        if let Some(name) = class.and_then(|class| self.names.classes().get(class.0)) {
+            self.book.add_open(family, name, 1);
         }
     }
 
@@ -117,10 +173,9 @@
     }
 
     pub(super) fn meter_placed(&mut self, attempt: AttemptId, server: &ServerId) {
-        let Some(book) = &mut self.book else { return };
         let site = self.zones.get(server).and_then(|zone| self.names.zones().get(zone.0));
-        book.add(Family::Retries, 0, u64::from(attempt.0 > 0));
-        book.add_open(Family::Placed, site.map_or("none", String::as_str), 1);
+        self.book.add(Family::Retries, 0, u64::from(attempt.0 > 0));
+        self.book.add_open(Family::Placed, site.map_or("none", String::as_str), 1);
     }
 
     pub(super) fn meter_stands(&mut self, took: Micros) {
@@ -159,13 +214,33 @@
         });
     }
 
-    /// What the book holds now, with the gauges of this moment; none where metrics are off.
-    pub fn reading(&mut self) -> Option<Reading> {
+    /// The figures that operators ask for, as one line of JSON.
+    pub fn figures(&self) -> String {
+        let count = |family, class: &String| self.book.own_total(family, class);
+        let of_class = |class: &String| {
+            let [succeeded, declined, aborted, forwards] = BY_CLASS.map(|family| count(family, class));
+            let held = json!({"succeeded": succeeded, "declined": declined, "aborted": aborted, "forwards": forwards});
+            (class.clone(), held)
+        };
+        let classes = self.names.classes();
+        let results: serde_json::Map<_, _> = classes.iter().map(of_class).collect();
+        json!({
+            "results": results,
+            "forwards": classes.iter().map(|class| count(Family::Forwards, class)).sum::<u64>(),
+            "outstanding": self.open_ids.borrow().len(),
+            "discovered": self.withheld.listed(),
+            "ejected": self.withheld.avoided(self.balancer.suspects()),
+        })
+        .to_string()
+    }
+
+    /// What the book holds now, with the gauges of this moment.
+    pub fn reading(&mut self) -> Reading {
         let now = self.timers.clock.now();
         let (standing, asking) = self.open();
         let (descriptors, crowd, version) = (self.descriptors.get(), self.crowd.len(), self.version);
         let (started, heard) = (self.born, self.roll_heard);
-        let book = self.book.as_mut()?;
+        let book = &mut self.book;
         let mut set = |family, value: f64| book.set(family, value);
         set(Family::Sessions, standing.len() as f64);
         set(Family::Asking, asking as f64);
@@ -174,6 +249,6 @@
         set(Family::RollVersion, version as f64);
         set(Family::RollAge, now.saturating_sub(heard) as f64 / 1e6);
         set(Family::Started, (started / 1_000_000) as f64);
-        Some(book.read(now))
+        book.read(now)
     }
 }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -7,6 +7,8 @@
 pub mod config;
 pub mod crowd;
 mod delays;
+mod door;
+mod held;
 mod lasting;
 pub mod lines;
 mod meter;
@@ -22,28 +24,28 @@
 pub mod wheel;
 
 use std::cell::{Cell, RefCell};
-use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
-use std::sync::Arc;
 use std::time::Duration;
 
 use honeyknot_gauges::{Book, Family};
 use honeyknot_sites::{Sites, Verdict};
-use tokio::net::{TcpListener, TcpSocket};
+use tokio::net::TcpListener;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::task::LocalSet;
-use tracing::{error, info, trace, warn};
+use tracing::{info, trace};
 
-use crate::decide::Balancer;
+use crate::admin;
 use crate::interface::*;
 use crate::wire::Names;
+use crate::{Balancer, Withheld};
 use clock::Clock;
 use config::{Config, OperatorFiles};
 use crowd::Crowd;
 use delays::Delays;
 use lines::SessionHead;
+use meter::Answer;
 use probe::Errand;
 use roll::{Ask, RollNews};
 use wheel::{Alarm, Timers};
@@ -54,12 +56,6 @@
 const LAST_RESERVE: usize = 12;
 /// The crowd at the door holds one descriptor in so many: sessions take two for each client, and need the rest.
 const CROWD_PART: usize = 4;
-/// Pause after a failed accept: out of descriptors or memory, which passes as sessions end.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-/// Pause until somebody who was turned out has given the descriptor back.
-const ROOM_PAUSE: Duration = Duration::from_millis(1);
-/// Connections that may wait to be accepted.
-const BACKLOG: u32 = 1024;
 /// Sessions from before the run come up within this of the relay's start ...
 const ADOPT_START: Micros = 40_000_000;
 /// ... and one that names its card server later is owed an answer within 3 s, like any other.
@@ -102,6 +98,7 @@
     deadline: Micros,
     out: Option<(AttemptId, ServerId, Micros)>,
     stands: bool,
+    class: ClassId,
     deck: Option<GroupKey>,
     asked: Micros,
 }
@@ -146,6 +143,8 @@
     balancer: Balancer,
     version: u64,
     addresses: BTreeMap<ServerId, SocketAddr>,
+    /// The roll as discovery tells it, and which card servers are out by hand.
+    withheld: Withheld,
     /// Card servers that leave, and when this relay was told.
     leaving: BTreeMap<ServerId, Micros>,
     seats: BTreeMap<RequestId, Seat>,
@@ -155,8 +154,8 @@
     delays: Delays,
     /// Losing and regaining sites, where the operators have switched it on.
     sites: Option<Sites>,
-    /// What is counted, where the operators have named sinks.
-    book: Option<Book>,
+    /// What is counted.
+    book: Book,
     /// Where the counts outlast the relay, if anywhere.
     lasting: Option<meter::Lasting>,
     /// The sinks that are fed, by name.
@@ -174,10 +173,17 @@
     /// Ids of the clients' connections that are open.
     open_ids: OpenIds,
     closing: bool,
+    /// Operators can call this relay.
+    operated: bool,
     born: Micros,
     me: Weak<RefCell<Relay>>,
 }
 
+/// Descriptors for sessions, the crowd and probes, the reserve included.
+fn descriptors(limit: usize, operated: bool) -> usize {
+    limit.saturating_sub(if operated { admin::DESCRIPTORS } else { 0 })
+}
+
 impl Relay {
     /// A relay, and what it will ask of discovery.
     pub fn new(config: Config) -> Result<(Shared, UnboundedReceiver<Ask>), String> {
@@ -192,10 +198,12 @@
         let relay = Rc::new_cyclic(|me| {
             RefCell::new(Relay {
                 timers,
+                book: meter::open(&config.metrics, &config.names),
                 names: config.names,
                 balancer,
                 version: 0,
                 addresses: BTreeMap::new(),
+                withheld: Withheld::default(),
                 leaving: BTreeMap::new(),
                 seats: BTreeMap::new(),
                 last_id: 0,
@@ -203,7 +211,6 @@
                 delays: Delays::new(&settings),
                 settings,
                 sites,
-                book: config.metrics.as_ref().map(|plan| Book::new(plan.cap)),
                 lasting: None,
                 sinks: BTreeMap::new(),
                 zones: BTreeMap::new(),
@@ -212,7 +219,8 @@
                 roll_trouble: false,
                 events: VecDeque::new(),
                 descriptors: Rc::default(),
-                most_descriptors: config.sockets,
+                most_descriptors: descriptors(config.sockets, config.admin.is_some()),
+                operated: config.admin.is_some(),
                 crowd: Crowd::default(),
                 open_ids: OpenIds::default(),
                 closing: false,
@@ -246,75 +254,14 @@
         }
     }
 
-    fn take_known(&mut self, news: RollNews) {
-        let update = ListUpdate::Cached(self.note_roll(news));
-        self.site_news(&update);
-        self.feed(Event::Servers { version: self.version, update });
-    }
-
-    /// News of the server roll. They are applied before anything else is sent.
-    pub fn take_roll(&mut self, news: RollNews) {
-        if std::mem::take(&mut self.roll_trouble) {
-            info!(target: "roll", version = news.version, "discovery answers again");
-        }
-        self.roll_heard = self.timers.clock.now();
-        let whole = news.whole;
-        let entries = self.note_roll(news);
-        let update = if whole { ListUpdate::Full(entries) } else { ListUpdate::Delta(entries) };
-        self.site_news(&update);
-        self.feed(Event::Servers { version: self.version, update });
-    }
-
-    fn note_roll(&mut self, news: RollNews) -> Arc<Vec<ServerEntry>> {
-        let now = self.timers.clock.now();
-        let mut drains = 0;
-        self.version = news.version;
-        for entry in &news.entries {
-            self.zones.extend(entry.zone.map(|zone| (entry.server.clone(), zone)));
-            if entry.state == ServerState::Ready {
-                self.leaving.remove(&entry.server);
-            } else if let Entry::Vacant(leaving) = self.leaving.entry(entry.server.clone()) {
-                leaving.insert(now);
-                drains += u64::from(entry.state == ServerState::Draining);
-            }
-        }
-        self.meter(|book| book.add(Family::Drains, 0, drains));
-        if news.whole {
-            let named = |id: &ServerId| news.entries.iter().any(|e| e.server == *id);
-            let lost: Vec<ServerId> = self.addresses.keys().filter(|id| !named(id)).cloned().collect();
-            for id in lost {
-                self.leaving.entry(id).or_insert(now);
-            }
-        }
-        // A probe of a card server that is gone has nothing left to ask.
-        let gone = news.entries.iter().filter(|e| e.state == ServerState::Gone);
-        gone.for_each(|e| drop(self.probes.remove(&e.server)));
-        self.addresses.extend(news.addresses);
-        Arc::new(news.entries)
-    }
-
-    /// A call to discovery failed.
-    pub fn roll_failed(&mut self, why: &str) {
-        if !std::mem::replace(&mut self.roll_trouble, true) {
-            warn!(target: "roll", why, "discovery does not answer");
-        }
-        self.meter(|book| book.add(Family::RollFailures, 0, 1));
-        self.feed(Event::Servers { version: self.version, update: ListUpdate::Failed });
-    }
-
     /// Applies what of a new configuration can change while sessions stand: where discovery is, and how many
     /// descriptors there may be. The roll held stays in use until the new discovery tells its own.
     pub fn reconfigure(&mut self, config: &Config) {
-        self.most_descriptors = config.sockets;
+        self.most_descriptors = descriptors(config.sockets, self.operated);
         self.site_plan(config);
         self.ask_discovery(Ask::Renew(config.discovery));
     }
 
-    /// The version of the roll that is held.
-    pub fn roll_version(&self) -> u64 {
-        self.version
-    }
-
     /// A client asks for a session, of a class that must be known. It gets orders until its seat is left.
     pub fn ask(&mut self, head: &SessionHead) -> Option<(RequestId, UnboundedReceiver<Order>)> {
         let mut request = self.request(head)?;
@@ -345,6 +292,7 @@
             (seat.attempts, seat.stands) = (1, true);
             seat.out = Some((AttemptId(0), server.clone(), now));
         }
+        self.meter_answer(Some(request.class), Answer::Up);
         self.site_adopted(&request, &server);
         self.feed(Event::Adopted(request, server));
         Some((id, orders))
@@ -355,7 +303,8 @@
         let asked = self.timers.clock.now();
         let deadline = asked.saturating_add(request.time_left);
         let deck = request.group.clone();
-        let seat = Seat { orders, attempts: 0, deadline, out: None, stands: false, deck, asked };
+        let (attempts, out, stands, class) = (0, None, false, request.class);
+        let seat = Seat { orders, attempts, deadline, out, stands, class, deck, asked };
         self.seats.insert(request.id, seat);
         (request.id, queue)
     }
@@ -384,7 +333,8 @@
         let Some(seat) = self.seats.get_mut(&id) else { return };
         seat.stands = true;
         let Some((attempt, server, sent)) = seat.out.clone() else { return };
-        let asked = seat.asked;
+        let (asked, class) = (seat.asked, seat.class);
+        self.meter_answer(Some(class), Answer::Up);
         let took = self.timers.clock.now().saturating_sub(asked);
         self.meter_stands(took);
         let elapsed = self.timers.clock.now().saturating_sub(sent);
@@ -408,11 +358,18 @@
         self.feed(Event::Outcome { id, attempt, outcome, closed, server, elapsed, report });
     }
 
+    /// The client of a session that does not stand gets its answer.
+    pub fn answered(&mut self, id: RequestId, answer: Answer) {
+        let class = self.seats.get(&id).map(|seat| seat.class);
+        self.meter_answer(class, answer);
+    }
+
     /// The session's task ends. Whatever the decisions still hold of it is settled.
     pub fn left(&mut self, id: RequestId, answered: bool) {
         let Some(seat) = self.seats.get(&id) else { return };
-        let out = seat.out.is_some();
+        let (out, class) = (seat.out.is_some(), seat.class);
         if !answered && !seat.stands {
+            self.meter_answer(Some(class), Answer::Failed);
             self.feed(Event::Abandoned(id));
         }
         if out {
@@ -567,18 +524,6 @@
 
     // ---- What tasks need to know --------------------------------------------------------------------------
 
-    /// Where this relay reaches a card server.
-    pub fn address(&self, server: &ServerId) -> Option<SocketAddr> {
-        self.addresses.get(server).copied()
-    }
-
-    /// Whether a head may still be written to a card server. Guards against an attempt that was placed before
-    /// the news of a drain and connects long after it.
-    pub fn may_still_send(&self, server: &ServerId) -> bool {
-        let grace = self.settings.rules.drain_grace / 2;
-        self.leaving.get(server).is_none_or(|told| self.timers.clock.now() < told + grace)
-    }
-
     /// A connection that is not up after this has failed.
     pub fn connect_timeout(&self) -> Micros {
         match self.settings.permissions.connect_timeout {
@@ -649,6 +594,15 @@
         (self.born + ADOPT_START).max(self.timers.clock.now() + ADOPT_LATER)
     }
 
+    /// Whether clients are let in here and can be placed, or why not.
+    pub fn can_serve(&self) -> Result<(), &'static str> {
+        match (self.closing, self.withheld.listed()) {
+            (true, _) => Err("on its way out"),
+            (false, 0) => Err("no server roll yet"),
+            (false, _) => Ok(()),
+        }
+    }
+
     /// Whether the relay is on its way out.
     pub fn closing(&self) -> bool {
         self.closing
@@ -676,14 +630,23 @@
 async fn serve_here(config: Config, files: OperatorFiles) -> Result<(), String> {
     let stop = shutdown::signal()?;
     let reloads = reload::signal(move || Config::again(&files))?;
-    let listener = open_listener(config.listen).map_err(|e| format!("{}: {e}", config.listen))?;
-    serve_on(listener, config, stop, reloads).await
+    let listener = door::open_listener(config.listen).map_err(|e| format!("{}: {e}", config.listen))?;
+    let admin = config.admin.map(|at| door::open_listener(at).map_err(|e| format!("`admin_addr` {at}: {e}")));
+    serve_on(Listeners { clients: listener, admin: admin.transpose()? }, config, stop, reloads).await
 }
 
-/// Serves the connections of a listener until `stop` resolves, and then empties the relay. It must run on a
+/// Where a relay is reached.
+pub struct Listeners {
+    /// By clients.
+    pub clients: TcpListener,
+    /// By operators, where they can call.
+    pub admin: Option<TcpListener>,
+}
+
+/// Serves the connections of its listeners until `stop` resolves, and then empties the relay. It must run on a
 /// [`LocalSet`]. Configurations that come by `reloads` are applied as far as they can be while it runs.
 pub async fn serve_on(
-    listener: TcpListener, config: Config, stop: impl Future<Output = ()>, reloads: reload::Reloads,
+    listeners: Listeners, config: Config, stop: impl Future<Output = ()>, reloads: reload::Reloads,
 ) -> Result<(), String> {
     let (name, listen, discovery) = (config.name.clone(), config.listen, config.discovery);
     let metrics = config.metrics.clone();
@@ -697,7 +660,10 @@
     tokio::task::spawn_local(roll::follow(relay.clone(), discovery, asks));
     tokio::task::spawn_local(turn_wheel(relay.clone()));
     tokio::task::spawn_local(tell_delays(relay.clone()));
-    tokio::task::spawn_local(accept(relay.clone(), listener));
+    if let Some(admin) = listeners.admin {
+        tokio::task::spawn_local(admin::serve(relay.clone(), admin));
+    }
+    tokio::task::spawn_local(door::accept(relay.clone(), listeners.clients));
     tokio::task::spawn_local(reload::follow(relay.clone(), reloads));
     info!(target: "relay", name, %listen, roll_version = relay.borrow().version, "serving");
     stop.await;
@@ -706,14 +672,6 @@
     Ok(())
 }
 
-fn open_listener(at: SocketAddr) -> std::io::Result<TcpListener> {
-    let socket = if at.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-    // A relay that was killed comes back to the same address while old connections still fade.
-    socket.set_reuseaddr(true)?;
-    socket.bind(at)?;
-    socket.listen(BACKLOG)
-}
-
 async fn turn_wheel(relay: Shared) {
     let timers = relay.borrow().timers.clone();
     let mut ticks = tokio::time::interval(Duration::from_micros(wheel::TICK));
@@ -739,31 +697,3 @@
         relay.borrow_mut().tend_sites();
     }
 }
-
-async fn accept(relay: Shared, listener: TcpListener) {
-    let (descriptors, crowd) = (relay.borrow().descriptors.clone(), relay.borrow().crowd.clone());
-    let mut trouble = false;
-    loop {
-        if !relay.borrow().room_at_the_door() {
-            tokio::time::sleep(ROOM_PAUSE).await;
-            continue;
-        }
-        match listener.accept().await {
-            Ok((client, _)) => {
-                trouble = false;
-                let held = Held::new(&descriptors);
-                crowd.admit(|place| session::serve(relay.clone(), client, held, place));
-                // Guards against letting in a whole crowd before the first of them could say what it wants: it
-                // would be turned out as the oldest.
-                tokio::task::yield_now().await;
-            }
-            Err(e) => {
-                // Guards against ending for want of descriptors (EMFILE), and against a line for each try.
-                if !std::mem::replace(&mut trouble, true) {
-                    error!(target: "relay", why = %e, "cannot accept");
-                }
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
-}
--- a/src/relay/session.rs
+++ b/src/relay/session.rs
@@ -11,6 +11,7 @@
 
 use super::crowd::Place;
 use super::lines::{self, FAILED, LineWatch, MOVE, Malformed, SessionHead, Word, report_value};
+use super::meter::Answer;
 use super::wheel::Timers;
 use super::{Held, Order, Placement, Shared};
 use crate::interface::*;
@@ -46,6 +47,7 @@
         Ok(Some(head)) => {
             let Some(_open) = relay.borrow().open_id(&head) else {
                 debug!(target: "client", why = "the id of an open connection, or no known class", "turned away");
+                relay.borrow_mut().meter_head(&head, Answer::Failed);
                 return side.farewell(FAILED).await;
             };
             match head.holder().map(|id| ServerId(id.into())) {
@@ -153,7 +155,7 @@
 }
 
 /// Ends a connection so that what was written last still arrives: closing with unread bytes would reset it.
-async fn end(timers: &Rc<Timers>, mut stream: TcpStream) {
+pub async fn end(timers: &Rc<Timers>, mut stream: TcpStream) {
     let _ = stream.shutdown().await;
     tokio::select! {
         () = drain(&stream) => {}
@@ -218,6 +220,7 @@
             (false, true) => "descriptors",
         };
         relay.borrow_mut().meter_refused(reason, None);
+        relay.borrow_mut().meter_head(&head, Answer::Busy);
         let line = lines::busy(come_back(&relay));
         return client.farewell(&line).await;
     };
@@ -276,15 +279,15 @@
                     }
                     Came::Served(words) => {
                         self.relay.borrow_mut().attempt_ended(self.seat.id, Outcome::Ok, true, None);
-                        return self.answer(&words).await;
+                        return self.answer(&words, Answer::Failed).await;
                     }
                     Came::Left => return,
                     Came::Answered(order) => {
                         self.relay.borrow_mut().attempt_ended(self.seat.id, Outcome::Cancelled, true, None);
-                        return self.answer(&final_line(&order)).await;
+                        return self.answer_order(&order).await;
                     }
                 },
-                Order::Refuse(_) | Order::Fail => return self.answer(&final_line(&order)).await,
+                Order::Refuse(_) | Order::Fail => return self.answer_order(&order).await,
                 // Nothing is out and nothing stands.
                 Order::Cancel(_) | Order::Move => {}
             }
@@ -298,7 +301,13 @@
         Order::Fail
     }
 
-    async fn answer(mut self, line: &[u8]) {
+    async fn answer_order(self, order: &Order) {
+        let answer = if matches!(order, Order::Refuse(_)) { Answer::Busy } else { Answer::Failed };
+        self.answer(&final_line(order), answer).await;
+    }
+
+    async fn answer(mut self, line: &[u8], answer: Answer) {
+        self.relay.borrow_mut().answered(self.seat.id, answer);
         self.seat.answered = true;
         drop(self.seat);
         self.client.farewell(line).await;
@@ -372,6 +381,7 @@
         return Came::Ended(Outcome::ConnectFailed, None);
     }
     sent.set(true);
+    relay.borrow_mut().meter_sent(head);
     read_answer(relay, server).await
 }
 
@@ -421,16 +431,21 @@
 async fn adopt(relay: Shared, mut client: Client, head: SessionHead, server: ServerId, place: Place) {
     drop(place);
     let Some(_second) = relay.borrow().hold_descriptor() else {
+        relay.borrow_mut().meter_refused("descriptors", None);
+        relay.borrow_mut().meter_head(&head, Answer::Busy);
         let line = lines::busy(come_back(&relay));
         return client.farewell(&line).await;
     };
     let (timers, due) = (client.timers.clone(), relay.borrow().adopts_until());
     let up = tokio::select! {
         up = find_again(&relay, &head, &server) => Some(up),
-        () = client.gone() => return,
+        () = client.gone() => return relay.borrow_mut().meter_head(&head, Answer::Failed),
         () = timers.until(due) => None,
     };
-    let Some((stream, first)) = up else { return client.farewell(FAILED).await };
+    let Some((stream, first)) = up else {
+        relay.borrow_mut().meter_head(&head, Answer::Failed);
+        return client.farewell(FAILED).await;
+    };
     let adopted = relay.borrow_mut().adopt(&head, server);
     let Some((id, orders)) = adopted else { return client.farewell(FAILED).await };
     let seat = SeatGuard { relay: relay.clone(), id, answered: false };
@@ -441,7 +456,8 @@
 async fn find_again(relay: &Shared, head: &SessionHead, server: &ServerId) -> (TcpStream, BytesMut) {
     let timers = relay.borrow().timers.clone();
     loop {
-        let address = relay.borrow().address(server);
+        // What is out by hand gets nothing, not even a session that stood there.
+        let address = relay.borrow().address(server).filter(|_| !relay.borrow().withholds(server));
         if let Some(address) = address {
             let came = tokio::select! {
                 came = dial_again(relay, head, address) => came,
@@ -461,6 +477,7 @@
     let mut server = TcpStream::connect(address).await.ok()?;
     let _ = server.set_nodelay(true);
     server.write_all(head.as_sent()).await.ok()?;
+    relay.borrow_mut().meter_sent(head);
     match read_answer(relay, server).await {
         Came::Up(server, bytes) => Some((server, bytes)),
         _ => None,
--- a/src/relay/sinks.rs
+++ b/src/relay/sinks.rs
@@ -209,7 +209,7 @@
                 return Feed { queue, before, second };
             }
             _ = ticks.tick() => {
-                let Some(reading) = relay.borrow_mut().reading() else { continue };
+                let reading = relay.borrow_mut().reading();
                 // What a later life would not know of must not be told: a total would fall.
                 if !meter::save(&relay, reading.at).await {
                     continue;
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -432,6 +432,11 @@
         place(&self.zones, name).map(ZoneId)
     }
 
+    /// The names of all classes, each at the place of its [`ClassId`].
+    pub fn classes(&self) -> &[String] {
+        &self.classes
+    }
+
     /// The names of all zones, each at the place of its [`ZoneId`].
     pub fn zones(&self) -> &[String] {
         &self.zones
--- /dev/null
+++ b/tests/loopback/mod.rs
@@ -0,0 +1,141 @@
+//! A relay in this process on real sockets of the loopback, with card servers of a few lines.
+#![allow(dead_code)] // each test file uses a part
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use honeyknot::relay::config::Config;
+use honeyknot::relay::{Listeners, serve_on};
+use serde_json::json;
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
+use tokio::sync::oneshot;
+use tokio::task::{LocalSet, spawn_local};
+
+pub type Line = BufReader<TcpStream>;
+
+/// A client, or a card server's end of a session.
+pub async fn line(end: &mut Line) -> String {
+    let mut text = String::new();
+    end.read_line(&mut text).await.expect("a line");
+    text
+}
+
+pub async fn say(end: &mut Line, text: &str) {
+    end.write_all(text.as_bytes()).await.expect("a write");
+}
+
+/// Everything up to the end of the connection.
+pub async fn rest(mut end: Line) -> String {
+    let mut text = String::new();
+    end.read_to_string(&mut text).await.expect("an orderly end");
+    text
+}
+
+pub async fn listen() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let at = listener.local_addr().expect("an address");
+    (listener, at)
+}
+
+/// A card server's next session; probes are answered on the way.
+pub async fn session(server: &TcpListener) -> (Line, String) {
+    loop {
+        let mut end = BufReader::new(server.accept().await.expect("a connection").0);
+        let first = line(&mut end).await;
+        if first != "STATS\r\n" {
+            return (end, first);
+        }
+        spawn_local(async move {
+            say(&mut end, "PONG util=0.2,latency_ms=4,x0=0.2\r\n").await;
+            while !line(&mut end).await.is_empty() {
+                say(&mut end, "PONG util=0.2,latency_ms=4,x0=0.2\r\n").await;
+            }
+        });
+    }
+}
+
+pub type Servers<'a> = &'a [(&'a str, SocketAddr, &'a str)];
+
+pub fn config_text(servers: Servers, sockets: u64, discovery: SocketAddr) -> String {
+    let servers: Vec<_> = servers
+        .iter()
+        .map(|(id, at, state)| json!({"id": id, "addr": at.to_string(), "state": state}))
+        .collect();
+    json!({
+        "name": "n0", "listen": "127.0.0.1:1", "discovery": discovery.to_string(), "seed": "1f",
+        "limits": {"sockets": sockets}, "known": {"version": 1, "full": true, "servers": servers},
+        "settings": {
+            "family": "conn", "discovery": "on_request", "telemetry": {"source": "pull"},
+            "familyInfo": {"messageAimUs": [150000.0], "tellsLoad": true, "tellsDelay": true},
+            "services": [{"name": "study", "effect": "idempotent", "aimUs": 25000000,
+                "hardLimitUs": 26000000, "stream": true}],
+            "permissions": {"probing": true, "maxAttempts": 3, "connectTimeoutUs": 250000,
+                "retryAfter": true, "maxRetryAfterUs": 600000, "idleCloseUs": 30000000},
+            "rules": {"startCapacity": 0.3, "coldUs": 9000000, "overloadFactor": 3.0,
+                "fallUs": 2000000, "stopSendingWithinUs": 500000, "mustAskInUs": 10000000}}})
+    .to_string()
+}
+
+pub fn config(servers: Servers, sockets: u64, discovery: SocketAddr) -> Result<Config, String> {
+    Config::read(config_text(servers, sockets, discovery).as_bytes(), |_| None)
+}
+
+pub struct Relay {
+    pub at: SocketAddr,
+    /// Where operators call.
+    pub admin: SocketAddr,
+    pub reloads: UnboundedSender<Result<Config, String>>,
+    pub stop: oneshot::Sender<()>,
+    pub ended: tokio::task::JoinHandle<Result<(), String>>,
+}
+
+impl Relay {
+    /// A relay that knows the given card servers and whose discovery is down.
+    pub async fn start(servers: Servers<'_>, sockets: u64) -> Relay {
+        Relay::with_discovery(servers, sockets, "127.0.0.1:1".parse().expect("an address")).await
+    }
+
+    pub async fn with_discovery(servers: Servers<'_>, sockets: u64, discovery: SocketAddr) -> Relay {
+        let config = config(servers, sockets, discovery).expect("a sound configuration");
+        let (clients, at) = listen().await;
+        let (operators, admin) = listen().await;
+        let (stop, stopped) = oneshot::channel();
+        let (reloads, reloaded) = unbounded_channel();
+        let stopped = async move {
+            let _ = stopped.await;
+        };
+        let ended =
+            spawn_local(serve_on(Listeners { clients, admin: Some(operators) }, config, stopped, reloaded));
+        Relay { at, admin, reloads, stop, ended }
+    }
+
+    /// What an operator's call is answered.
+    pub async fn call(&self, line: &str) -> String {
+        let mut end = BufReader::new(TcpStream::connect(self.admin).await.expect("a connection"));
+        say(&mut end, line).await;
+        rest(end).await
+    }
+
+    pub async fn client(&self, first: &str) -> Line {
+        let mut end = BufReader::new(TcpStream::connect(self.at).await.expect("a connection"));
+        say(&mut end, first).await;
+        end
+    }
+}
+
+/// Runs a case on the relay's kind of runtime; a case that hangs fails in the end.
+pub fn case(run: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let limit = Duration::from_secs(60);
+    let done = LocalSet::new().block_on(&runtime, async { tokio::time::timeout(limit, run).await });
+    done.expect("the case ends");
+}
+
+pub const OPEN: &str = "OPEN 9b1f 7f3a c=study,d=26000,g=5c0f,x=1\r\n";
+
+/// Each connection has an id of its own.
+pub fn open(id: &str) -> String {
+    OPEN.replace("9b1f", id)
+}
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -1,134 +1,18 @@
 //! The relay on real sockets of the loopback, with card servers of a few lines.
 
+mod loopback;
+
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use honeyknot::relay::config::Config;
-use honeyknot::relay::serve_on;
+use loopback::{Line, OPEN, Relay, case, config, config_text, line, listen, open, rest, say, session};
 use serde_json::json;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
-use tokio::sync::oneshot;
-use tokio::task::{LocalSet, spawn_local};
-
-type Line = BufReader<TcpStream>;
-
-/// A client, or a card server's end of a session.
-async fn line(end: &mut Line) -> String {
-    let mut text = String::new();
-    end.read_line(&mut text).await.expect("a line");
-    text
-}
-
-async fn say(end: &mut Line, text: &str) {
-    end.write_all(text.as_bytes()).await.expect("a write");
-}
-
-/// Everything up to the end of the connection.
-async fn rest(mut end: Line) -> String {
-    let mut text = String::new();
-    end.read_to_string(&mut text).await.expect("an orderly end");
-    text
-}
-
-async fn listen() -> (TcpListener, SocketAddr) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-    let at = listener.local_addr().expect("an address");
-    (listener, at)
-}
-
-/// A card server's next session; probes are answered on the way.
-async fn session(server: &TcpListener) -> (Line, String) {
-    loop {
-        let mut end = BufReader::new(server.accept().await.expect("a connection").0);
-        let first = line(&mut end).await;
-        if first != "STATS\r\n" {
-            return (end, first);
-        }
-        spawn_local(async move {
-            say(&mut end, "PONG util=0.2,latency_ms=4,x0=0.2\r\n").await;
-            while !line(&mut end).await.is_empty() {
-                say(&mut end, "PONG util=0.2,latency_ms=4,x0=0.2\r\n").await;
-            }
-        });
-    }
-}
-
-type Servers<'a> = &'a [(&'a str, SocketAddr, &'a str)];
-
-fn config_text(servers: Servers, sockets: u64, discovery: SocketAddr) -> String {
-    let servers: Vec<_> = servers
-        .iter()
-        .map(|(id, at, state)| json!({"id": id, "addr": at.to_string(), "state": state}))
-        .collect();
-    json!({
-        "name": "n0", "listen": "127.0.0.1:1", "discovery": discovery.to_string(), "seed": "1f",
-        "limits": {"sockets": sockets}, "known": {"version": 1, "full": true, "servers": servers},
-        "settings": {
-            "family": "conn", "discovery": "on_request", "telemetry": {"source": "pull"},
-            "familyInfo": {"messageAimUs": [150000.0], "tellsLoad": true, "tellsDelay": true},
-            "services": [{"name": "study", "effect": "idempotent", "aimUs": 25000000,
-                "hardLimitUs": 26000000, "stream": true}],
-            "permissions": {"probing": true, "maxAttempts": 3, "connectTimeoutUs": 250000,
-                "retryAfter": true, "maxRetryAfterUs": 600000, "idleCloseUs": 30000000},
-            "rules": {"startCapacity": 0.3, "coldUs": 9000000, "overloadFactor": 3.0,
-                "fallUs": 2000000, "stopSendingWithinUs": 500000, "mustAskInUs": 10000000}}})
-    .to_string()
-}
-
-fn config(servers: Servers, sockets: u64, discovery: SocketAddr) -> Result<Config, String> {
-    Config::read(config_text(servers, sockets, discovery).as_bytes(), |_| None)
-}
-
-struct Relay {
-    at: SocketAddr,
-    reloads: UnboundedSender<Result<Config, String>>,
-    stop: oneshot::Sender<()>,
-    ended: tokio::task::JoinHandle<Result<(), String>>,
-}
-
-impl Relay {
-    /// A relay that knows the given card servers and whose discovery is down.
-    async fn start(servers: Servers<'_>, sockets: u64) -> Relay {
-        Relay::with_discovery(servers, sockets, "127.0.0.1:1".parse().expect("an address")).await
-    }
-
-    async fn with_discovery(servers: Servers<'_>, sockets: u64, discovery: SocketAddr) -> Relay {
-        let config = config(servers, sockets, discovery).expect("a sound configuration");
-        let (listener, at) = listen().await;
-        let (stop, stopped) = oneshot::channel();
-        let (reloads, reloaded) = unbounded_channel();
-        let stopped = async move {
-            let _ = stopped.await;
-        };
-        let ended = spawn_local(serve_on(listener, config, stopped, reloaded));
-        Relay { at, reloads, stop, ended }
-    }
-
-    async fn client(&self, first: &str) -> Line {
-        let mut end = BufReader::new(TcpStream::connect(self.at).await.expect("a connection"));
-        say(&mut end, first).await;
-        end
-    }
-}
-
-/// Runs a case on the relay's kind of runtime; a case that hangs fails in the end.
-fn case(run: impl Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-    let limit = Duration::from_secs(60);
-    let done = LocalSet::new().block_on(&runtime, async { tokio::time::timeout(limit, run).await });
-    done.expect("the case ends");
-}
-
-const OPEN: &str = "OPEN 9b1f 7f3a c=study,d=26000,g=5c0f,x=1\r\n";
-
-/// Each connection has an id of its own.
-fn open(id: &str) -> String {
-    OPEN.replace("9b1f", id)
-}
+use tokio::task::spawn_local;
 
 #[test]
 fn a_session_is_placed_passed_on_and_ended_as_its_card_server_ends_it() {
