--- a/crates/decisions/src/withheld.rs
+++ b/crates/decisions/src/withheld.rs
@@ -77,6 +77,33 @@
         }))
     }
 
+    /// Notes that another process of this relay has put a card server back; what the decisions are to hear of it.
+    pub fn was_put_back(&mut self, at: Micros, id: &ServerId) -> Option<ServerEntry> {
+        self.named.insert(id.clone());
+        let last = self.back.entry(id.clone()).or_insert(at);
+        *last = at.max(*last);
+        self.roll.get(id).map(|entry| self.show(entry))
+    }
+
+    /// What the decisions are to hear where another process was told that these leave: news of discovery that are
+    /// newer than the roll held here.
+    pub fn leaving(&mut self, ids: &[ServerId]) -> Vec<ServerEntry> {
+        let mut told = Vec::new();
+        for id in ids {
+            let Some(entry) = self.roll.get_mut(id).filter(|e| e.state == ServerState::Ready) else {
+                continue;
+            };
+            entry.state = ServerState::Draining;
+            told.push(entry.clone());
+        }
+        told
+    }
+
+    /// Who was put back, and when.
+    pub fn back(&self) -> impl Iterator<Item = (&ServerId, Micros)> {
+        self.back.iter().map(|(id, at)| (id, *at))
+    }
+
     /// Who is out.
     pub fn out(&self) -> impl Iterator<Item = &ServerId> {
         self.out.iter()
--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -14,8 +14,8 @@
 use tokio::task::AbortHandle;
 use tracing::warn;
 
-use crate::interface::{Micros, ServerId};
-use crate::relay::{Shared, session};
+use crate::interface::Micros;
+use crate::relay::{Shared, handover, session};
 use call::{Bad, Call};
 
 /// Callers at a time. Their descriptors are kept out of what sessions and the crowd may hold.
@@ -72,7 +72,7 @@
     };
     let Some(call) = call else { return };
     let answer = match call {
-        Ok(call) => carry_out(&relay, call),
+        Ok(call) => carry_out(&relay, call).await,
         Err(why) => format!("NO {why}\n"),
     };
     // Callers get the line ends that they use.
@@ -101,21 +101,15 @@
     }
 }
 
-fn carry_out(relay: &Shared, call: Call) -> String {
-    let yes_or_no = |done: Result<(), String>| match done {
+async fn carry_out(relay: &Shared, call: Call) -> String {
+    let done = match call {
+        Call::Stats => return format!("{}\nEND\n", relay.borrow().figures()),
+        Call::Status => relay.borrow().can_serve().map_err(str::to_owned),
+        Call::MaintOn(id) => handover::by_hand(relay, &id, true).await,
+        Call::MaintOff(id) => handover::by_hand(relay, &id, false).await,
+    };
+    match done {
         Ok(()) => "YES\n".to_owned(),
         Err(why) => format!("NO {why}\n"),
-    };
-    match call {
-        Call::Status => yes_or_no(relay.borrow().can_serve().map_err(str::to_owned)),
-        Call::Stats => format!("{}\nEND\n", relay.borrow().figures()),
-        Call::MaintOn(id) => {
-            let done = relay.borrow_mut().take_out(&ServerId(id.as_str().into()));
-            yes_or_no(done.map_err(|_| format!("no card server has the id {id}")))
-        }
-        Call::MaintOff(id) => {
-            let done = relay.borrow_mut().put_back(&ServerId(id.as_str().into()));
-            yes_or_no(done.map_err(|_| format!("no card server has the id {id}")))
-        }
     }
 }
--- a/src/relay/door.rs
+++ b/src/relay/door.rs
@@ -1,6 +1,7 @@
 //! The door: the listener, and letting connections in.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::net::{TcpListener, TcpSocket};
@@ -24,8 +25,20 @@
     socket.listen(BACKLOG)
 }
 
-/// Lets connections in until the relay ends.
-pub async fn accept(relay: Shared, listener: TcpListener) {
+/// Lets connections in from now on.
+pub fn open(relay: &Shared, listener: &Rc<TcpListener>) {
+    let task = tokio::task::spawn_local(accept(relay.clone(), listener.clone()));
+    relay.borrow_mut().tenure.door = Some(task.abort_handle());
+}
+
+/// Lets nobody in any more. What was let in goes on.
+pub fn close(relay: &Shared) {
+    if let Some(task) = relay.borrow_mut().tenure.door.take() {
+        task.abort();
+    }
+}
+
+async fn accept(relay: Shared, listener: Rc<TcpListener>) {
     let (descriptors, crowd) = (relay.borrow().descriptors.clone(), relay.borrow().crowd.clone());
     let mut trouble = false;
     loop {
--- /dev/null
+++ b/src/relay/handover.rs
@@ -0,0 +1,461 @@
+//! One process of a relay takes over from another: listener, card servers out by hand, drains.
+//!
+//! The old process offers a Unix socket in a folder that only their user may enter. The new one asks there for the
+//! listening descriptor, gets ready, and takes over: the old one stops accepting before the new one begins. The link
+//! between the two then stays, so that each sees the other's end, and a call of operators at one holds at both.
+
+mod kept;
+mod line;
+
+use std::net::SocketAddr;
+use std::os::fd::{AsFd, OwnedFd};
+use std::path::PathBuf;
+use std::rc::Rc;
+
+use serde::{Deserialize, Serialize};
+use tokio::net::{TcpListener, UnixListener};
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::sync::oneshot;
+use tokio::task::AbortHandle;
+use tracing::{info, warn};
+
+use super::{Relay, Shared, door};
+use crate::interface::*;
+pub use kept::Folder;
+use line::Line;
+
+/// A process that does not answer for this long is stuck.
+const ANSWER: Micros = 1_000_000;
+/// Discovery is waited for this long before the new process takes over with the roll that it was given.
+const ROLL: Micros = 2_500_000;
+/// How often a process that waits looks.
+const LOOK: Micros = 20_000;
+/// Descriptors of a process that are in nobody's count.
+const RUNTIME: usize = 16;
+/// How often the old process tells what it holds.
+const TELL: Micros = 500_000;
+/// A call that the other process has not confirmed by now is answered `NO`.
+const CONFIRM: Micros = 600_000;
+
+/// What a process knows by hand, in the form that is handed over and kept.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ByHand {
+    /// Card servers that are out.
+    pub out: Vec<String>,
+    /// Those put back, and when, in Unix microseconds.
+    pub back: Vec<(String, Micros)>,
+}
+
+/// What processes tell each other, one JSON object a line.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "say", rename_all = "kebab-case")]
+pub enum Word {
+    /// New to old: who may take over?
+    Hello,
+    /// Old to new, with the listener: what binds it.
+    State {
+        /// Card servers out by hand.
+        by_hand: ByHand,
+        /// Those that discovery says leave or are gone.
+        leaving: Vec<String>,
+    },
+    /// Old to new: another process is taking over.
+    Busy,
+    /// New to old: let nobody in any more.
+    Take,
+    /// Old to new: the door is closed here.
+    Yours {
+        /// Card servers out by hand, as of now.
+        by_hand: ByHand,
+    },
+    /// Old to new: so many descriptors are held here.
+    Holding {
+        /// How many.
+        descriptors: usize,
+    },
+    /// An operator's call has taken a card server out, or put it back.
+    Hand {
+        /// Which.
+        id: String,
+        /// Whether it is out.
+        out: bool,
+        /// The answer's number.
+        number: u64,
+    },
+    /// It holds here too.
+    Done {
+        /// The number.
+        number: u64,
+    },
+}
+
+/// A message to the other process, and who waits until it is confirmed.
+type Note = (Word, Option<oneshot::Sender<()>>);
+
+/// How far a change of processes is.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Stage {
+    /// The new process, which is not this one, gets ready.
+    Preparing,
+    /// The new process, which is not this one, lets clients in.
+    HandedOver,
+    /// This is the new one, and the old one still lives.
+    TookOver,
+}
+
+/// The relay's end of a link.
+struct Link {
+    notes: UnboundedSender<Note>,
+    stage: Stage,
+    /// Descriptors that the other process holds.
+    lent: usize,
+}
+
+/// What this process holds of the relay that outlives processes.
+#[derive(Default)]
+pub struct Tenure {
+    /// The task that lets clients in.
+    pub door: Option<AbortHandle>,
+    folder: Option<Rc<Folder>>,
+    link: Option<Link>,
+    /// Calls of operators that were passed to another process.
+    passed: u64,
+}
+
+impl Tenure {
+    /// Descriptors that another process of this relay may hold meanwhile: within the limit of both.
+    pub fn lent(&self) -> usize {
+        self.link.as_ref().filter(|l| l.stage == Stage::TookOver).map_or(0, |l| l.lent + RUNTIME)
+    }
+
+    /// Whether another process of this relay lets its clients in.
+    pub fn handed_over(&self) -> bool {
+        self.link.as_ref().is_some_and(|link| link.stage == Stage::HandedOver)
+    }
+}
+
+/// What a new process has got from the old one.
+pub struct Incumbent {
+    line: Line,
+    by_hand: ByHand,
+    leaving: Vec<String>,
+}
+
+/// Asks a process that serves this relay's clients for its listener. None if no process lives.
+pub async fn knock(folder: &Folder) -> Result<Option<(TcpListener, Incumbent)>, String> {
+    let Some(mut line) = Line::connect(&folder.socket()).await else { return Ok(None) };
+    let asked = async {
+        line.say(&Word::Hello, None).await.ok()?;
+        line.next().await
+    };
+    let answer = tokio::time::timeout(std::time::Duration::from_micros(ANSWER), asked).await;
+    match answer {
+        Ok(Some((Word::State { by_hand, leaving }, Some(listener)))) => {
+            let listener = inherit(listener).map_err(|e| format!("the listener handed over: {e}"))?;
+            Ok(Some((listener, Incumbent { line, by_hand, leaving })))
+        }
+        Ok(Some((Word::Busy, _))) => {
+            Err("another process is taking over from the one that serves here".into())
+        }
+        // It ended just now.
+        Ok(None) => Ok(None),
+        Ok(Some(_)) => {
+            Err("the process that serves here speaks another language: upgrade by a restart".into())
+        }
+        Err(_) => Err("the process that serves here does not answer".into()),
+    }
+}
+
+fn inherit(listener: OwnedFd) -> std::io::Result<TcpListener> {
+    let listener = std::net::TcpListener::from(listener);
+    listener.set_nonblocking(true)?;
+    TcpListener::from_std(listener)
+}
+
+/// Takes over from an old process once this one can serve, lets clients in, and offers the relay to the next one.
+/// Errors say why it cannot; the old process then serves on.
+pub async fn enter(
+    relay: Shared, folder: Rc<Folder>, listener: Rc<TcpListener>, from: Option<Incumbent>,
+) -> Result<(), String> {
+    relay.borrow_mut().tenure.folder = Some(folder.clone());
+    match from {
+        None => {
+            let kept = folder.read();
+            relay.borrow_mut().take_by_hand(kept);
+            door::open(&relay, &listener);
+        }
+        Some(incumbent) => take_over(&relay, &folder, &listener, incumbent).await?,
+    }
+    match folder.publish() {
+        Ok(offered) => offer(relay, folder, listener, offered).await,
+        Err(why) => {
+            warn!(target: "handover", why, "no process can take over from this one");
+            std::future::pending().await
+        }
+    }
+}
+
+async fn take_over(
+    relay: &Shared, folder: &Rc<Folder>, listener: &Rc<TcpListener>, incumbent: Incumbent,
+) -> Result<(), String> {
+    let Incumbent { mut line, by_hand, leaving } = incumbent;
+    let timers = relay.borrow().timers.clone();
+    relay.borrow_mut().take_by_hand(by_hand);
+    relay.borrow_mut().take_leaving(&leaving);
+    let born = relay.borrow().born;
+    while !relay.borrow().roll_answered() && timers.clock.now() < born + ROLL {
+        if relay.borrow().closing() {
+            return Err("told to stop before it took over".into());
+        }
+        timers.nap(LOOK).await;
+    }
+    let taken = async {
+        line.say(&Word::Take, None).await.ok()?;
+        loop {
+            match line.next().await? {
+                (Word::Yours { by_hand }, _) => return Some(by_hand),
+                // What operators did meanwhile is in what comes with the door.
+                (Word::Hand { number, .. }, _) => line.say(&Word::Done { number }, None).await.ok()?,
+                _ => {}
+            }
+        }
+    };
+    let by_hand = tokio::select! {
+        taken = taken => taken,
+        () = timers.nap(ANSWER) => return Err("the process that serves here does not let go of its door".into()),
+    };
+    if let Some(by_hand) = by_hand {
+        relay.borrow_mut().take_by_hand(by_hand);
+        let notes = relay.borrow_mut().link(Stage::TookOver);
+        tokio::task::spawn_local(talk(relay.clone(), folder.clone(), None, line, notes));
+    }
+    door::open(relay, listener);
+    info!(target: "handover", old_lives = relay.borrow().tenure.link.is_some(), "took over");
+    Ok(())
+}
+
+/// Offers the relay to new processes, one at a time.
+async fn offer(
+    relay: Shared, folder: Rc<Folder>, listener: Rc<TcpListener>, offered: UnixListener,
+) -> Result<(), String> {
+    let timers = relay.borrow().timers.clone();
+    loop {
+        let Ok((stream, _)) = offered.accept().await else {
+            timers.nap(ANSWER).await;
+            continue;
+        };
+        let mut line = Line::new(stream);
+        let first = tokio::time::timeout(std::time::Duration::from_micros(ANSWER), line.next()).await;
+        if !matches!(first, Ok(Some((Word::Hello, _)))) {
+            continue;
+        }
+        if relay.borrow().tenure.link.is_some() {
+            let _ = line.say(&Word::Busy, None).await;
+            continue;
+        }
+        let notes = relay.borrow_mut().link(Stage::Preparing);
+        tokio::task::spawn_local(hand_over(relay.clone(), folder.clone(), listener.clone(), line, notes));
+    }
+}
+
+async fn hand_over(
+    relay: Shared, folder: Rc<Folder>, listener: Rc<TcpListener>, line: Line, notes: UnboundedReceiver<Note>,
+) {
+    info!(target: "handover", "a new process gets ready");
+    let (by_hand, leaving) = (relay.borrow().by_hand(), relay.borrow().leaving());
+    if line.say(&Word::State { by_hand, leaving }, Some(listener.as_fd())).await.is_ok() {
+        talk(relay, folder, Some(listener), line, notes).await;
+    } else {
+        relay.borrow_mut().tenure.link = None;
+    }
+}
+
+/// The link to the other process, until either ends. The old process, which has a listener here, lets clients in again
+/// if the new one ends.
+async fn talk(
+    relay: Shared, folder: Rc<Folder>, listener: Option<Rc<TcpListener>>, mut line: Line,
+    mut notes: UnboundedReceiver<Note>,
+) {
+    let timers = relay.borrow().timers.clone();
+    let mut waiting = Vec::new();
+    loop {
+        let said = tokio::select! {
+            word = line.next() => match word {
+                Some((word, _)) => hear(&relay, &listener, &line, &mut waiting, word).await,
+                None => break,
+            },
+            note = notes.recv() => match note {
+                Some((word, confirmed)) => {
+                    if let (Word::Hand { number, .. }, Some(confirmed)) = (&word, confirmed) {
+                        waiting.push((*number, confirmed));
+                    }
+                    line.say(&word, None).await.is_ok()
+                }
+                None => break,
+            },
+            () = timers.nap(TELL), if listener.is_some() => {
+                let descriptors = relay.borrow().descriptors.get();
+                line.say(&Word::Holding { descriptors }, None).await.is_ok()
+            }
+        };
+        if !said {
+            break;
+        }
+    }
+    let link = relay.borrow_mut().tenure.link.take();
+    info!(target: "handover", "the other process has ended");
+    let Some(listener) = listener.filter(|_| link.is_some_and(|l| l.stage == Stage::HandedOver)) else {
+        return;
+    };
+    if !relay.borrow().closing() {
+        warn!(target: "handover", "it had taken over: clients are let in here again");
+        door::open(&relay, &listener);
+        match folder.publish() {
+            Ok(offered) => drop(offer_again(relay, folder, listener, offered)),
+            Err(why) => warn!(target: "handover", why, "no process can take over from this one"),
+        }
+    }
+}
+
+/// A box between [`talk`] and [`offer`], which need each other.
+fn offer_again(
+    relay: Shared, folder: Rc<Folder>, listener: Rc<TcpListener>, offered: UnixListener,
+) -> tokio::task::JoinHandle<()> {
+    tokio::task::spawn_local(async move {
+        let offering: std::pin::Pin<Box<dyn Future<Output = _>>> =
+            Box::pin(offer(relay, folder, listener, offered));
+        let _ = offering.await;
+    })
+}
+
+/// Does what the other process says; false if it can no longer be told.
+async fn hear(
+    relay: &Shared, listener: &Option<Rc<TcpListener>>, line: &Line,
+    waiting: &mut Vec<(u64, oneshot::Sender<()>)>, word: Word,
+) -> bool {
+    match word {
+        Word::Take if listener.is_some() => {
+            door::close(relay);
+            if let Some(link) = &mut relay.borrow_mut().tenure.link {
+                link.stage = Stage::HandedOver;
+            }
+            let by_hand = relay.borrow().by_hand();
+            let descriptors = relay.borrow().descriptors.get();
+            info!(target: "handover", "handed over: clients are let in by the new process");
+            line.say(&Word::Yours { by_hand }, None).await.is_ok()
+                && line.say(&Word::Holding { descriptors }, None).await.is_ok()
+        }
+        Word::Hand { id, out, number } => {
+            relay.borrow_mut().hand(&ServerId(id.as_str().into()), out);
+            line.say(&Word::Done { number }, None).await.is_ok()
+        }
+        Word::Done { number } => {
+            let confirmed = waiting.iter().position(|(n, _)| *n == number).map(|i| waiting.swap_remove(i));
+            confirmed.map(|(_, confirmed)| confirmed.send(()));
+            true
+        }
+        Word::Holding { descriptors } => {
+            if let Some(link) = &mut relay.borrow_mut().tenure.link {
+                link.lent = descriptors;
+            }
+            true
+        }
+        _ => true,
+    }
+}
+
+/// Takes a card server out by hand, or puts it back, here and at the other process; returns when it holds.
+pub async fn by_hand(relay: &Shared, id: &str, out: bool) -> Result<(), String> {
+    let server = ServerId(id.into());
+    let done = match out {
+        true => relay.borrow_mut().take_out(&server),
+        false => relay.borrow_mut().put_back(&server),
+    };
+    done.map_err(|_| format!("no card server has the id {id}"))?;
+    let (folder, confirmed) = {
+        let mut relay = relay.borrow_mut();
+        relay.tenure.passed += 1;
+        let word = Word::Hand { id: id.to_owned(), out, number: relay.tenure.passed };
+        // One that gets ready is told all of it with the door.
+        let linked = relay.tenure.link.as_ref().filter(|link| link.stage != Stage::Preparing);
+        let told = linked.and_then(|link| {
+            let (confirm, confirmed) = oneshot::channel();
+            link.notes.send((word, Some(confirm))).ok().map(|()| confirmed)
+        });
+        (relay.tenure.folder.clone(), told)
+    };
+    if let Some(folder) = folder {
+        // It holds in any case while a process lives; guards against a file that says otherwise later.
+        folder.keep(relay).await.map_err(|why| format!("it holds, but cannot be kept: {why}"))?;
+    }
+    if let Some(confirmed) = confirmed {
+        let timers = relay.borrow().timers.clone();
+        let linked = || relay.borrow().tenure.link.is_some();
+        tokio::select! {
+            // A process that ends meanwhile confirms nothing and needs nothing.
+            confirmed = confirmed => if confirmed.is_err() && linked() {
+                return Err("it holds here, but the other process has not confirmed it".into());
+            },
+            () = timers.nap(CONFIRM) => {
+                return Err("it holds here, but the other process has not confirmed it".into());
+            }
+        }
+    }
+    Ok(())
+}
+
+impl Relay {
+    /// Opens this process' end of a link.
+    fn link(&mut self, stage: Stage) -> UnboundedReceiver<Note> {
+        let (notes, queue) = unbounded_channel();
+        self.tenure.link = Some(Link { notes, stage, lent: 0 });
+        queue
+    }
+
+    /// What is out by hand, and what was put back, in the form that is handed over.
+    pub(super) fn by_hand(&self) -> ByHand {
+        let name = |id: &ServerId| id.0.as_ref().to_owned();
+        let back = self.withheld.back().map(|(id, at)| (name(id), at)).collect();
+        ByHand { out: self.withheld.out().map(name).collect(), back }
+    }
+
+    /// Takes on that card servers leave, as another process was told.
+    fn take_leaving(&mut self, leaving: &[String]) {
+        let ids: Vec<ServerId> = leaving.iter().map(|id| ServerId(id.as_str().into())).collect();
+        let entries = self.withheld.leaving(&ids);
+        entries.into_iter().for_each(|entry| self.show(Some(entry)));
+    }
+
+    /// Takes on what another process, or an earlier one, had out by hand.
+    fn take_by_hand(&mut self, by_hand: ByHand) {
+        for (id, at) in &by_hand.back {
+            let seen = self.withheld.was_put_back(*at, &ServerId(id.as_str().into()));
+            self.show(seen);
+        }
+        let out: Vec<ServerId> = by_hand.out.iter().map(|id| ServerId(id.as_str().into())).collect();
+        let gone: Vec<ServerId> = self.withheld.out().filter(|id| !out.contains(id)).cloned().collect();
+        gone.iter().for_each(|id| self.hand(id, false));
+        out.iter().for_each(|id| self.hand(id, true));
+    }
+
+    /// Does what an operator has done at another process.
+    fn hand(&mut self, id: &ServerId, out: bool) {
+        let seen = match out {
+            true => self.withheld.withhold(id),
+            false => self.withheld.put_back(self.timers.clock.now(), id).ok().flatten(),
+        };
+        self.show(seen);
+    }
+}
+
+/// Where a relay of that address keeps what outlives a process, if a folder for it is told.
+pub fn folder(listen: SocketAddr) -> Option<Folder> {
+    let place = std::env::var_os("TMPDIR").filter(|path| !path.is_empty()).map(PathBuf::from)?;
+    match Folder::open(&place, listen) {
+        Ok(folder) => Some(folder),
+        Err(why) => {
+            warn!(target: "handover", why, "no process can take over from this one");
+            None
+        }
+    }
+}
--- a/src/relay/held.rs
+++ b/src/relay/held.rs
@@ -86,7 +86,7 @@
     }
 
     /// Tells the decisions what operators have changed of a card server.
-    fn show(&mut self, seen: Option<ServerEntry>) {
+    pub(super) fn show(&mut self, seen: Option<ServerEntry>) {
         let Some(entry) = seen else { return };
         info!(target: "admin", server = &*entry.server.0, state = ?entry.state, "by hand");
         let update = ListUpdate::Delta(self.note_entries(vec![entry], false));
@@ -103,6 +103,17 @@
         self.feed(Event::Servers { version: self.version, update: ListUpdate::Failed });
     }
 
+    /// Whether discovery has told its roll since the start.
+    pub fn roll_answered(&self) -> bool {
+        self.roll_heard > self.born
+    }
+
+    /// Who leaves or is gone by what discovery says.
+    pub(super) fn leaving(&self) -> Vec<String> {
+        let by_roll = self.leaving.keys().filter(|id| !self.withheld.holds(id));
+        by_roll.map(|id| id.0.as_ref().to_owned()).collect()
+    }
+
     /// The version of the roll that is held.
     pub fn roll_version(&self) -> u64 {
         self.version
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -8,6 +8,7 @@
 pub mod crowd;
 mod delays;
 mod door;
+pub mod handover;
 mod held;
 mod lasting;
 pub mod lines;
@@ -44,6 +45,7 @@
 use config::{Config, OperatorFiles};
 use crowd::Crowd;
 use delays::Delays;
+use handover::{Folder, Incumbent, Tenure};
 use lines::SessionHead;
 use meter::Answer;
 use probe::Errand;
@@ -175,6 +177,8 @@
     closing: bool,
     /// Operators can call this relay.
     operated: bool,
+    /// What outlives this process, and who lets clients in.
+    tenure: Tenure,
     born: Micros,
     me: Weak<RefCell<Relay>>,
 }
@@ -221,6 +225,7 @@
                 descriptors: Rc::default(),
                 most_descriptors: descriptors(config.sockets, config.admin.is_some()),
                 operated: config.admin.is_some(),
+                tenure: Tenure::default(),
                 crowd: Crowd::default(),
                 open_ids: OpenIds::default(),
                 closing: false,
@@ -552,11 +557,18 @@
         self.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0)
     }
 
+    /// What this process may hold: all processes of a relay live within one limit.
+    fn most_descriptors(&self) -> usize {
+        let least = self.most_descriptors / 4;
+        self.most_descriptors.saturating_sub(self.tenure.lent()).max(least)
+    }
+
     /// A further descriptor, unless they would run out. The crowd at the door makes room for those who ask.
     pub fn hold_descriptor(&self) -> Option<Held> {
         let held = self.descriptors.get();
-        let short = held >= self.most_descriptors.saturating_sub(RESERVE);
-        let spare = held < self.most_descriptors.saturating_sub(LAST_RESERVE);
+        let most = self.most_descriptors();
+        let short = held >= most.saturating_sub(RESERVE);
+        let spare = held < most.saturating_sub(LAST_RESERVE);
         (!short || spare && self.crowd.turn_out_oldest()).then(|| Held::new(&self.descriptors))
     }
 
@@ -573,10 +585,11 @@
 
     /// Makes room for one more at the door; false while there is none.
     fn room_at_the_door(&self) -> bool {
-        if self.crowd.len() >= self.most_descriptors / CROWD_PART {
+        let most = self.most_descriptors();
+        if self.crowd.len() >= most / CROWD_PART {
             self.crowd.turn_out_oldest();
         }
-        let full = self.descriptors.get() >= self.most_descriptors.saturating_sub(LAST_RESERVE);
+        let full = self.descriptors.get() >= most.saturating_sub(LAST_RESERVE);
         if full {
             self.crowd.turn_out_oldest();
         }
@@ -585,7 +598,9 @@
 
     /// Whether a newcomer may be let in.
     pub fn may_let_in(&self) -> bool {
-        !self.closing && (self.seats.len() as u64) < self.settings.permissions.max_open
+        // What was let in before a new process took over still gets its session: nobody else will serve it.
+        (!self.closing || self.tenure.handed_over())
+            && (self.seats.len() as u64) < self.settings.permissions.max_open
     }
 
     /// Until when a session from before the run may look for its card server: long at the start, when the roll may
@@ -599,6 +614,9 @@
         match (self.closing, self.withheld.listed()) {
             (true, _) => Err("on its way out"),
             (false, 0) => Err("no server roll yet"),
+            (false, _) if self.tenure.door.is_none() && !self.tenure.handed_over() => {
+                Err("not taken over yet")
+            }
             (false, _) => Ok(()),
         }
     }
@@ -630,9 +648,20 @@
 async fn serve_here(config: Config, files: OperatorFiles) -> Result<(), String> {
     let stop = shutdown::signal()?;
     let reloads = reload::signal(move || Config::again(&files))?;
-    let listener = door::open_listener(config.listen).map_err(|e| format!("{}: {e}", config.listen))?;
+    let folder = config.admin.and_then(|_| handover::folder(config.listen)).map(Rc::new);
+    let met = match &folder {
+        Some(folder) => handover::knock(folder).await?,
+        None => None,
+    };
+    let (clients, from) = match met {
+        Some((listener, from)) => (listener, Some(from)),
+        None => {
+            let told = |e| format!("{}: {e}", config.listen);
+            (door::open_listener(config.listen).map_err(told)?, None)
+        }
+    };
     let admin = config.admin.map(|at| door::open_listener(at).map_err(|e| format!("`admin_addr` {at}: {e}")));
-    serve_on(Listeners { clients: listener, admin: admin.transpose()? }, config, stop, reloads).await
+    serve_on(Listeners { clients, admin: admin.transpose()?, folder, from }, config, stop, reloads).await
 }
 
 /// Where a relay is reached.
@@ -641,6 +670,10 @@
     pub clients: TcpListener,
     /// By operators, where they can call.
     pub admin: Option<TcpListener>,
+    /// Where processes of this relay meet, if they do.
+    pub folder: Option<Rc<Folder>>,
+    /// The process that has served here so far, if any lives.
+    pub from: Option<Incumbent>,
 }
 
 /// Serves the connections of its listeners until `stop` resolves, and then empties the relay. It must run on a
@@ -651,6 +684,10 @@
     let (name, listen, discovery) = (config.name.clone(), config.listen, config.discovery);
     let metrics = config.metrics.clone();
     let (relay, asks) = Relay::new(config)?;
+    if listeners.from.is_some() {
+        // What was told to the old process binds this one: the whole roll, now, and again until it comes.
+        relay.borrow_mut().ask_discovery(Ask::Renew(discovery));
+    }
     if let Some(plan) = metrics {
         if let Some(folder) = &plan.state {
             relay.borrow_mut().take_up_counts(folder, &name);
@@ -663,10 +700,24 @@
     if let Some(admin) = listeners.admin {
         tokio::task::spawn_local(admin::serve(relay.clone(), admin));
     }
-    tokio::task::spawn_local(door::accept(relay.clone(), listeners.clients));
     tokio::task::spawn_local(reload::follow(relay.clone(), reloads));
+    let clients = Rc::new(listeners.clients);
+    let taken_over = match listeners.folder {
+        Some(folder) => {
+            tokio::task::spawn_local(handover::enter(relay.clone(), folder, clients, listeners.from))
+        }
+        None => {
+            door::open(&relay, &clients);
+            tokio::task::spawn_local(std::future::pending())
+        }
+    };
     info!(target: "relay", name, %listen, roll_version = relay.borrow().version, "serving");
-    stop.await;
+    tokio::select! {
+        () = stop => {}
+        ended = taken_over => if let Ok(Err(why)) = ended {
+            return Err(why);
+        },
+    }
     shutdown::drain(relay).await;
     info!(target: "relay", name, "stopped");
     Ok(())
--- a/src/relay/shutdown.rs
+++ b/src/relay/shutdown.rs
@@ -48,11 +48,14 @@
     let began = timers.clock.now();
     let kill = began + relay.borrow().longest_deadline().min(LONGEST_WAIT) + KILL_AFTER;
     info!(target: "shutdown", sessions = relay.borrow().open().0.len(), "begins");
-    timers.until((began + FRONT_NOTICES).min(kill - KILL_AFTER)).await;
+    // Where a new process lets clients in, none that is moved can come back here.
+    let replaced = relay.borrow().tenure.handed_over();
+    timers.until(if replaced { began } else { (began + FRONT_NOTICES).min(kill - KILL_AFTER) }).await;
     loop {
         let now = timers.clock.now();
         let (standing, asking) = relay.borrow().open();
-        if standing.is_empty() && asking == 0 || now >= kill - GONE_BEFORE - LINGER {
+        let crowd = replaced && !relay.borrow().crowd.is_empty();
+        if standing.is_empty() && asking == 0 && !crowd || now >= kill - GONE_BEFORE - LINGER {
             break;
         }
         let due = due_now(standing.len(), (kill - MOVED_BEFORE).saturating_sub(now));
--- a/tests/loopback/mod.rs
+++ b/tests/loopback/mod.rs
@@ -106,8 +106,12 @@
         let stopped = async move {
             let _ = stopped.await;
         };
-        let ended =
-            spawn_local(serve_on(Listeners { clients, admin: Some(operators) }, config, stopped, reloaded));
+        let ended = spawn_local(serve_on(
+            Listeners { clients, admin: Some(operators), folder: None, from: None },
+            config,
+            stopped,
+            reloaded,
+        ));
         Relay { at, admin, reloads, stop, ended }
     }
 
