--- a/crates/gauges/src/names.rs
+++ b/crates/gauges/src/names.rs
@@ -63,7 +63,7 @@
     Moves = "moves", Total, "sessions", "reason",
         ["decisions", "site", "restart", "silent"], "Sessions that were sent MOVE";
     Ended = "ended", Total, "sessions", "how",
-        ["served", "client", "server", "moved", "reset"], "Sessions that stood, by how they ended";
+        ["served", "client", "server", "moved", "reset", "passed"], "Sessions that stood, by how they ended";
     Drains = "drains", Total, "card servers", "", [], "Drains of card servers that this relay was told of";
     Probes = "probes", Total, "probes", "outcome",
         ["ok", "error", "full", "timeout", "connect_failed", "reset", "cancelled", "moot"], "Probes by outcome";
--- a/src/relay/handover.rs
+++ b/src/relay/handover.rs
@@ -19,6 +19,8 @@
 use tokio::task::AbortHandle;
 use tracing::{info, warn};
 
+use super::session::{self, Bundle, Passed};
+use super::wheel::Timers;
 use super::{Relay, Shared, door};
 use crate::interface::*;
 pub use kept::Folder;
@@ -82,6 +84,8 @@
         /// The answer's number.
         number: u64,
     },
+    /// Old to new, with the sockets of its client and its card server: a session that stands.
+    Session(Bundle),
     /// It holds here too.
     Done {
         /// The number.
@@ -89,8 +93,13 @@
     },
 }
 
-/// A message to the other process, and who waits until it is confirmed.
-type Note = (Word, Option<oneshot::Sender<()>>);
+/// A message to the other process.
+enum Note {
+    /// An operator's call, and who waits until it holds there.
+    Call(Word, oneshot::Sender<()>),
+    /// A session that goes on there.
+    Session(Box<Passed>),
+}
 
 /// How far a change of processes is.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -145,18 +154,17 @@
 pub async fn knock(folder: &Folder) -> Result<Option<(TcpListener, Incumbent)>, String> {
     let Some(mut line) = Line::connect(&folder.socket()).await else { return Ok(None) };
     let asked = async {
-        line.say(&Word::Hello, None).await.ok()?;
+        line.say(&Word::Hello, &[]).await.ok()?;
         line.next().await
     };
     let answer = tokio::time::timeout(std::time::Duration::from_micros(ANSWER), asked).await;
     match answer {
-        Ok(Some((Word::State { by_hand, leaving }, Some(listener)))) => {
+        Ok(Some(Word::State { by_hand, leaving })) => {
+            let listener = line.descriptor().ok_or("no listener came from the process that serves here")?;
             let listener = inherit(listener).map_err(|e| format!("the listener handed over: {e}"))?;
             Ok(Some((listener, Incumbent { line, by_hand, leaving })))
         }
-        Ok(Some((Word::Busy, _))) => {
-            Err("another process is taking over from the one that serves here".into())
-        }
+        Ok(Some(Word::Busy)) => Err("another process is taking over from the one that serves here".into()),
         // It ended just now.
         Ok(None) => Ok(None),
         Ok(Some(_)) => {
@@ -210,12 +218,12 @@
         timers.nap(LOOK).await;
     }
     let taken = async {
-        line.say(&Word::Take, None).await.ok()?;
+        line.say(&Word::Take, &[]).await.ok()?;
         loop {
             match line.next().await? {
-                (Word::Yours { by_hand }, _) => return Some(by_hand),
+                Word::Yours { by_hand } => return Some(by_hand),
                 // What operators did meanwhile is in what comes with the door.
-                (Word::Hand { number, .. }, _) => line.say(&Word::Done { number }, None).await.ok()?,
+                Word::Hand { number, .. } => line.say(&Word::Done { number }, &[]).await.ok()?,
                 _ => {}
             }
         }
@@ -246,11 +254,11 @@
         };
         let mut line = Line::new(stream);
         let first = tokio::time::timeout(std::time::Duration::from_micros(ANSWER), line.next()).await;
-        if !matches!(first, Ok(Some((Word::Hello, _)))) {
+        if !matches!(first, Ok(Some(Word::Hello))) {
             continue;
         }
         if relay.borrow().tenure.link.is_some() {
-            let _ = line.say(&Word::Busy, None).await;
+            let _ = line.say(&Word::Busy, &[]).await;
             continue;
         }
         let notes = relay.borrow_mut().link(Stage::Preparing);
@@ -263,7 +271,7 @@
 ) {
     info!(target: "handover", "a new process gets ready");
     let (by_hand, leaving) = (relay.borrow().by_hand(), relay.borrow().leaving());
-    if line.say(&Word::State { by_hand, leaving }, Some(listener.as_fd())).await.is_ok() {
+    if line.say(&Word::State { by_hand, leaving }, &[listener.as_fd()]).await.is_ok() {
         talk(relay, folder, Some(listener), line, notes).await;
     } else {
         relay.borrow_mut().tenure.link = None;
@@ -281,21 +289,22 @@
     loop {
         let said = tokio::select! {
             word = line.next() => match word {
-                Some((word, _)) => hear(&relay, &listener, &line, &mut waiting, word).await,
+                Some(word) => hear(&relay, &listener, &mut line, &mut waiting, word).await,
                 None => break,
             },
             note = notes.recv() => match note {
-                Some((word, confirmed)) => {
-                    if let (Word::Hand { number, .. }, Some(confirmed)) = (&word, confirmed) {
+                Some(Note::Call(word, confirmed)) => {
+                    if let Word::Hand { number, .. } = &word {
                         waiting.push((*number, confirmed));
                     }
-                    line.say(&word, None).await.is_ok()
+                    line.say(&word, &[]).await.is_ok()
                 }
+                Some(Note::Session(passed)) => pass(&line, *passed, &timers).await,
                 None => break,
             },
             () = timers.nap(TELL), if listener.is_some() => {
                 let descriptors = relay.borrow().descriptors.get();
-                line.say(&Word::Holding { descriptors }, None).await.is_ok()
+                line.say(&Word::Holding { descriptors }, &[]).await.is_ok()
             }
         };
         if !said {
@@ -303,6 +312,12 @@
         }
     }
     let link = relay.borrow_mut().tenure.link.take();
+    notes.close();
+    while let Some(note) = notes.recv().await {
+        if let Note::Session(passed) = note {
+            passed.send_away(&timers);
+        }
+    }
     info!(target: "handover", "the other process has ended");
     let Some(listener) = listener.filter(|_| link.is_some_and(|l| l.stage == Stage::HandedOver)) else {
         return;
@@ -328,9 +343,19 @@
     })
 }
 
+/// Passes a session on; one that cannot be passed is moved. False if the line has ended.
+async fn pass(line: &Line, passed: Passed, timers: &Rc<Timers>) -> bool {
+    let sockets = [passed.client.as_fd(), passed.server.as_fd()];
+    let said = line.say(&Word::Session(passed.bundle.clone()), &sockets).await.is_ok();
+    if !said {
+        passed.send_away(timers);
+    }
+    said
+}
+
 /// Does what the other process says; false if it can no longer be told.
 async fn hear(
-    relay: &Shared, listener: &Option<Rc<TcpListener>>, line: &Line,
+    relay: &Shared, listener: &Option<Rc<TcpListener>>, line: &mut Line,
     waiting: &mut Vec<(u64, oneshot::Sender<()>)>, word: Word,
 ) -> bool {
     match word {
@@ -342,18 +367,30 @@
             let by_hand = relay.borrow().by_hand();
             let descriptors = relay.borrow().descriptors.get();
             info!(target: "handover", "handed over: clients are let in by the new process");
-            line.say(&Word::Yours { by_hand }, None).await.is_ok()
-                && line.say(&Word::Holding { descriptors }, None).await.is_ok()
+            line.say(&Word::Yours { by_hand }, &[]).await.is_ok()
+                && line.say(&Word::Holding { descriptors }, &[]).await.is_ok()
         }
         Word::Hand { id, out, number } => {
             relay.borrow_mut().hand(&ServerId(id.as_str().into()), out);
-            line.say(&Word::Done { number }, None).await.is_ok()
+            line.say(&Word::Done { number }, &[]).await.is_ok()
         }
         Word::Done { number } => {
             let confirmed = waiting.iter().position(|(n, _)| *n == number).map(|i| waiting.swap_remove(i));
             confirmed.map(|(_, confirmed)| confirmed.send(()));
             true
         }
+        Word::Session(bundle) => {
+            let sockets = (line.descriptor(), line.descriptor());
+            if let Some(link) = &mut relay.borrow_mut().tenure.link {
+                link.lent = link.lent.saturating_sub(2);
+            }
+            if let (Some(client), Some(server)) = sockets
+                && let Err(why) = session::take_up(relay, bundle, client, server)
+            {
+                warn!(target: "handover", %why, "a session that was passed here cannot be taken up");
+            }
+            true
+        }
         Word::Holding { descriptors } => {
             if let Some(link) = &mut relay.borrow_mut().tenure.link {
                 link.lent = descriptors;
@@ -380,7 +417,7 @@
         let linked = relay.tenure.link.as_ref().filter(|link| link.stage != Stage::Preparing);
         let told = linked.and_then(|link| {
             let (confirm, confirmed) = oneshot::channel();
-            link.notes.send((word, Some(confirm))).ok().map(|()| confirmed)
+            link.notes.send(Note::Call(word, confirm)).ok().map(|()| confirmed)
         });
         (relay.tenure.folder.clone(), told)
     };
@@ -412,6 +449,16 @@
         queue
     }
 
+    /// Passes a session on to the process that lets clients in now; it comes back if there is none.
+    pub fn pass_on(&mut self, passed: Passed) -> Result<(), Box<Passed>> {
+        let link = self.tenure.link.as_ref().filter(|link| link.stage == Stage::HandedOver);
+        let Some(link) = link else { return Err(Box::new(passed)) };
+        link.notes.send(Note::Session(Box::new(passed))).map_err(|unsent| match unsent.0 {
+            Note::Session(passed) => passed,
+            Note::Call(..) => unreachable!("a session was sent"),
+        })
+    }
+
     /// What is out by hand, and what was put back, in the form that is handed over.
     pub(super) fn by_hand(&self) -> ByHand {
         let name = |id: &ServerId| id.0.as_ref().to_owned();
--- a/src/relay/handover/line.rs
+++ b/src/relay/handover/line.rs
@@ -1,5 +1,6 @@
-//! The line between two processes: JSON objects, one a line, with at most one descriptor beside each.
+//! The line between two processes: JSON objects, one a line, with descriptors beside some.
 
+use std::collections::VecDeque;
 use std::io::{self, IoSlice, IoSliceMut};
 use std::mem::MaybeUninit;
 use std::os::fd::{BorrowedFd, OwnedFd};
@@ -17,17 +18,21 @@
 /// The longest message: far above what the ids of a fleet take.
 const LONGEST: usize = 4 << 20;
 
+/// Descriptors beside one message at the most: both sockets of a session.
+pub const MOST: usize = 2;
+
 /// One end of the line.
 pub struct Line {
     stream: UnixStream,
     bytes: Vec<u8>,
-    descriptor: Option<OwnedFd>,
+    /// Those that came, in order: messages take theirs.
+    descriptors: VecDeque<OwnedFd>,
 }
 
 impl Line {
     /// A line over a connection that stands.
     pub fn new(stream: UnixStream) -> Line {
-        Line { stream, bytes: Vec::new(), descriptor: None }
+        Line { stream, bytes: Vec::new(), descriptors: VecDeque::new() }
     }
 
     /// Connects to a process that offers one; none if no process does.
@@ -35,24 +40,23 @@
         UnixStream::connect(path).await.ok().map(Line::new)
     }
 
-    /// Sends a message, with a descriptor beside it where one is given.
-    pub async fn say(&self, word: &Word, descriptor: Option<BorrowedFd<'_>>) -> io::Result<()> {
+    /// Sends a message, with these descriptors beside it, [`MOST`] at the most.
+    pub async fn say(&self, word: &Word, descriptors: &[BorrowedFd<'_>]) -> io::Result<()> {
         let mut bytes = serde_json::to_vec(word)?;
         bytes.push(b'\n');
-        let (mut rest, mut beside) = (&bytes[..], descriptor);
+        let (mut rest, mut beside) = (&bytes[..], descriptors);
         while !rest.is_empty() {
             self.stream.writable().await?;
             let sent = self.stream.try_io(Interest::WRITABLE, || {
-                let held: Vec<BorrowedFd<'_>> = beside.into_iter().collect();
-                let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+                let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(MOST))];
                 let mut control = SendAncillaryBuffer::new(&mut space);
-                if !held.is_empty() {
-                    control.push(SendAncillaryMessage::ScmRights(&held));
+                if !beside.is_empty() {
+                    control.push(SendAncillaryMessage::ScmRights(beside));
                 }
                 Ok(sendmsg(&self.stream, &[IoSlice::new(rest)], &mut control, SendFlags::NOSIGNAL)?)
             });
             match sent {
-                Ok(count) => (rest, beside) = (&rest[count..], None),
+                Ok(count) => (rest, beside) = (&rest[count..], &[]),
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
                 Err(e) => return Err(e),
             }
@@ -60,13 +64,18 @@
         Ok(())
     }
 
-    /// The next message and the descriptor that came with it; none when the other end has ended or makes no sense.
-    /// Dropped before it is ready, it loses nothing.
-    pub async fn next(&mut self) -> Option<(Word, Option<OwnedFd>)> {
+    /// The first descriptor that came and was not taken yet.
+    pub fn descriptor(&mut self) -> Option<OwnedFd> {
+        self.descriptors.pop_front()
+    }
+
+    /// The next message; none when the other end has ended or makes no sense. Descriptors that belong to it have come
+    /// by then. Dropped before it is ready, it loses nothing.
+    pub async fn next(&mut self) -> Option<Word> {
         loop {
             if let Some(end) = self.bytes.iter().position(|b| *b == b'\n') {
                 let line: Vec<u8> = self.bytes.drain(..=end).collect();
-                return Some((serde_json::from_slice(&line).ok()?, self.descriptor.take()));
+                return serde_json::from_slice(&line).ok();
             }
             if self.bytes.len() > LONGEST {
                 return None;
@@ -74,9 +83,9 @@
             self.stream.readable().await.ok()?;
             match self.stream.try_io(Interest::READABLE, || receive(&self.stream)) {
                 Ok((bytes, _)) if bytes.is_empty() => return None,
-                Ok((bytes, descriptor)) => {
+                Ok((bytes, descriptors)) => {
                     self.bytes.extend_from_slice(&bytes);
-                    self.descriptor = descriptor.or(self.descriptor.take());
+                    self.descriptors.extend(descriptors);
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
                 Err(_) => return None,
@@ -85,10 +94,10 @@
     }
 }
 
-/// What lies there, with the descriptor beside it. Any that is not the first is closed.
-fn receive(stream: &UnixStream) -> io::Result<(Vec<u8>, Option<OwnedFd>)> {
+/// What lies there, with the descriptors beside it.
+fn receive(stream: &UnixStream) -> io::Result<(Vec<u8>, Vec<OwnedFd>)> {
     let mut room = vec![0; 16 * 1024];
-    let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+    let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(MOST))];
     let mut control = RecvAncillaryBuffer::new(&mut space);
     let got = recvmsg(stream, &mut [IoSliceMut::new(&mut room)], &mut control, RecvFlags::CMSG_CLOEXEC)?;
     room.truncate(got.bytes);
@@ -96,5 +105,5 @@
         RecvAncillaryMessage::ScmRights(descriptors) => Some(descriptors),
         _ => None,
     });
-    Ok((room, rights.flatten().next()))
+    Ok((room, rights.flatten().collect()))
 }
--- a/src/relay/lines.rs
+++ b/src/relay/lines.rs
@@ -245,7 +245,7 @@
 const KEPT: usize = 256;
 
 /// Follows the lines that pass from a card server to a client, whatever pieces they come in.
-#[derive(Default)]
+#[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct LineWatch {
     kept: Vec<u8>,
     inside: bool,
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -76,6 +76,8 @@
     Fail,
     /// Send the client away politely.
     Move,
+    /// Have another process of this relay go on with the session.
+    PassOn,
     /// Give up the attempt of this number.
     Cancel(AttemptId),
 }
@@ -289,6 +291,14 @@
     /// A session that stood at a card server before this relay started is up again.
     pub fn adopt(
         &mut self, head: &SessionHead, server: ServerId,
+    ) -> Option<(RequestId, UnboundedReceiver<Order>)> {
+        self.meter_head(head, Answer::Up);
+        self.take_up(head, server)
+    }
+
+    /// A session stands that this process did not bring up.
+    pub fn take_up(
+        &mut self, head: &SessionHead, server: ServerId,
     ) -> Option<(RequestId, UnboundedReceiver<Order>)> {
         let request = self.request(head)?;
         let (id, orders) = self.seat(&request);
@@ -297,7 +307,6 @@
             (seat.attempts, seat.stands) = (1, true);
             seat.out = Some((AttemptId(0), server.clone(), now));
         }
-        self.meter_answer(Some(request.class), Answer::Up);
         self.site_adopted(&request, &server);
         self.feed(Event::Adopted(request, server));
         Some((id, orders))
@@ -383,6 +392,11 @@
         self.seats.remove(&id);
     }
 
+    /// The card server of a session's attempt.
+    pub fn server_of(&self, id: RequestId) -> Option<ServerId> {
+        self.seats.get(&id).and_then(|seat| seat.out.as_ref()).map(|(_, server, _)| server.clone())
+    }
+
     /// The card server told the session's load.
     pub fn load_told(&mut self, id: RequestId, load: f64) {
         if let Some(sites) = &mut self.sites {
@@ -393,8 +407,7 @@
 
     /// A line of the client took this long to be answered.
     pub fn message_took(&mut self, id: RequestId, took: Micros) {
-        let at = self.seats.get(&id).and_then(|s| s.out.as_ref()).map(|(_, server, _)| server.clone());
-        if let Some(server) = at {
+        if let Some(server) = self.server_of(id) {
             self.meter(|book| book.record(Family::Message, took));
             self.delay_seen(server, took as f64 / 1e3, false);
         }
--- a/src/relay/session.rs
+++ b/src/relay/session.rs
@@ -1,9 +1,11 @@
 //! One study session: its head, its attempts, the lines that pass, and its end.
 
 use std::io;
+use std::os::fd::OwnedFd;
 use std::rc::Rc;
 
-use bytes::{Buf, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
+use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::UnboundedReceiver;
@@ -289,7 +291,7 @@
                 },
                 Order::Refuse(_) | Order::Fail => return self.answer_order(&order).await,
                 // Nothing is out and nothing stands.
-                Order::Cancel(_) | Order::Move => {}
+                Order::Cancel(_) | Order::Move | Order::PassOn => {}
             }
         }
     }
@@ -349,7 +351,7 @@
 
     async fn stand(self, server: TcpStream, first: BytesMut) {
         self.relay.borrow_mut().stands(self.seat.id);
-        pump(self.relay, self.client, self.orders, self.seat, server, first).await;
+        pump(self.relay, self.client, self.orders, self.seat, self.head, server, first).await;
     }
 }
 
@@ -449,7 +451,7 @@
     let adopted = relay.borrow_mut().adopt(&head, server);
     let Some((id, orders)) = adopted else { return client.farewell(FAILED).await };
     let seat = SeatGuard { relay: relay.clone(), id, answered: false };
-    pump(relay, client, orders, seat, stream, first).await;
+    pump(relay, client, orders, seat, head, stream, first).await;
 }
 
 /// Dials the card server of a session from before the run until it is up there.
@@ -484,6 +486,93 @@
     }
 }
 
+/// All that a session that stands is, but its sockets, in the form in which it is passed on.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Bundle {
+    /// The client's first line.
+    head: Vec<u8>,
+    /// Its card server.
+    server: String,
+    /// Bytes that wait to be sent.
+    to_client: Vec<u8>,
+    to_server: Vec<u8>,
+    watch: LineWatch,
+    last: Last,
+    /// Since when lines of the client wait for anything to come back, in Unix microseconds.
+    unanswered: Option<Micros>,
+    load: Option<f64>,
+}
+
+/// A session on its way to another process of this relay.
+#[derive(Debug)]
+pub struct Passed {
+    /// What it is.
+    pub bundle: Bundle,
+    /// Its client.
+    pub client: TcpStream,
+    /// Its card server.
+    pub server: TcpStream,
+}
+
+impl Passed {
+    /// Moves the client, as there is nobody to pass it on to.
+    pub fn send_away(self, timers: &Rc<Timers>) {
+        let Passed { bundle, client, server } = self;
+        if bundle.to_client.is_empty() && bundle.watch.between_lines() {
+            // It fits: nothing else waits to be sent.
+            let _ = client.try_write(MOVE);
+        }
+        let timers = timers.clone();
+        tokio::task::spawn_local(async move { tokio::join!(end(&timers, client), end(&timers, server)) });
+    }
+}
+
+/// Goes on with a session that another process of this relay has passed on. One that cannot be held here is moved.
+pub fn take_up(relay: &Shared, bundle: Bundle, client: OwnedFd, server: OwnedFd) -> io::Result<()> {
+    let stream = |socket: OwnedFd| TcpStream::from_std(std::net::TcpStream::from(socket));
+    let (client, server) = (stream(client)?, stream(server)?);
+    let timers = relay.borrow().timers.clone();
+    let head = SessionHead::parse(Bytes::copy_from_slice(&bundle.head));
+    let (first, second) = (relay.borrow().hold_descriptor(), relay.borrow().hold_descriptor());
+    let (Ok(head), Some(first), Some(second)) = (head, first, second) else {
+        Passed { bundle, client, server }.send_away(&timers);
+        return Err(io::Error::other("no descriptors to spare, or no sound head"));
+    };
+    let open = relay.borrow().open_id(&head);
+    let taken = relay.borrow_mut().take_up(&head, ServerId(bundle.server.as_str().into()));
+    let (Some(open), Some((id, mut orders))) = (open, taken) else {
+        Passed { bundle, client, server }.send_away(&timers);
+        return Err(io::Error::other("its id is open here, or its class is not known"));
+    };
+    if let Some(load) = bundle.load {
+        relay.borrow_mut().load_told(id, load);
+    }
+    let seat = SeatGuard { relay: relay.clone(), id, answered: false };
+    let pump = Pump {
+        relay: relay.clone(),
+        id,
+        head,
+        client,
+        server,
+        to_client: BytesMut::from(&bundle.to_client[..]),
+        to_server: BytesMut::from(&bundle.to_server[..]),
+        watch: bundle.watch,
+        last: bundle.last,
+        server_end: None,
+        client_end: None,
+        move_from: None,
+        passing: false,
+        unanswered: bundle.unanswered,
+        load: bundle.load,
+        timers,
+    };
+    tokio::task::spawn_local(async move {
+        let _held = (first, second, open);
+        pump.serve(&mut orders, seat).await;
+    });
+    Ok(())
+}
+
 /// How a standing session ends.
 enum Ending {
     /// The card server ended it, perhaps with a reset.
@@ -494,10 +583,12 @@
     Moved,
     /// The card server says nothing more.
     Silent,
+    /// Another process of this relay goes on with it.
+    Passed,
 }
 
 /// What the last whole line of the card server was.
-#[derive(Clone, Copy, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 enum Last {
     Bye,
     Move,
@@ -509,6 +600,7 @@
 struct Pump {
     relay: Shared,
     id: RequestId,
+    head: SessionHead,
     client: TcpStream,
     server: TcpStream,
     to_client: BytesMut,
@@ -519,19 +611,24 @@
     server_end: Option<(bool, Micros)>,
     client_end: Option<(bool, Micros)>,
     move_from: Option<Micros>,
+    /// Another process of this relay is to go on with it.
+    passing: bool,
+    /// Its load as last told.
+    load: Option<f64>,
     /// Since when lines of the client wait for anything to come back.
     unanswered: Option<Micros>,
     timers: Rc<Timers>,
 }
 
 async fn pump(
-    relay: Shared, client: Client, mut orders: UnboundedReceiver<Order>, mut seat: SeatGuard,
+    relay: Shared, client: Client, mut orders: UnboundedReceiver<Order>, seat: SeatGuard, head: SessionHead,
     server: TcpStream, first: BytesMut,
 ) {
     let timers = client.timers.clone();
     let mut pump = Pump {
-        relay: relay.clone(),
+        relay,
         id: seat.id,
+        head,
         client: client.stream,
         server,
         to_client: BytesMut::new(),
@@ -541,37 +638,67 @@
         server_end: None,
         client_end: None,
         move_from: None,
+        passing: false,
+        load: None,
         unanswered: None,
-        timers: timers.clone(),
+        timers,
     };
     pump.take_lines(first);
-    let ending = pump.run(&mut orders).await;
-    let outcome = match (&ending, pump.last) {
-        (Ending::Client { .. } | Ending::Moved, _) => Outcome::Cancelled,
-        (Ending::Silent, _) => Outcome::Reset,
-        (Ending::Server { .. }, Last::Bye) => Outcome::Ok,
-        (Ending::Server { .. }, Last::Move) => Outcome::Cancelled,
-        (Ending::Server { .. }, Last::Err) => Outcome::Error,
-        (Ending::Server { .. }, Last::Other) => Outcome::Reset,
-    };
-    let how = match (&ending, pump.last) {
-        (Ending::Client { .. }, _) => "client",
-        (Ending::Moved | Ending::Silent, _) => "moved",
-        (Ending::Server { .. }, Last::Bye) => "served",
-        (Ending::Server { reset: true }, _) => "reset",
-        (Ending::Server { reset: false }, _) => "server",
-    };
-    relay.borrow_mut().meter_ended(how);
-    if matches!(ending, Ending::Silent) {
-        relay.borrow_mut().meter_moved_silent();
-    }
-    relay.borrow_mut().attempt_ended(seat.id, outcome, true, None);
-    seat.answered = true;
-    drop(seat);
-    pump.close(ending).await;
+    pump.serve(&mut orders, seat).await;
 }
 
 impl Pump {
+    /// Passes lines until the session ends, and settles it.
+    async fn serve(mut self, orders: &mut UnboundedReceiver<Order>, mut seat: SeatGuard) {
+        let ending = self.run(orders).await;
+        let outcome = match (&ending, self.last) {
+            (Ending::Client { .. } | Ending::Moved | Ending::Passed, _) => Outcome::Cancelled,
+            (Ending::Silent, _) => Outcome::Reset,
+            (Ending::Server { .. }, Last::Bye) => Outcome::Ok,
+            (Ending::Server { .. }, Last::Move) => Outcome::Cancelled,
+            (Ending::Server { .. }, Last::Err) => Outcome::Error,
+            (Ending::Server { .. }, Last::Other) => Outcome::Reset,
+        };
+        let how = match (&ending, self.last) {
+            (Ending::Client { .. }, _) => "client",
+            (Ending::Moved | Ending::Silent, _) => "moved",
+            (Ending::Passed, _) => "passed",
+            (Ending::Server { .. }, Last::Bye) => "served",
+            (Ending::Server { reset: true }, _) => "reset",
+            (Ending::Server { reset: false }, _) => "server",
+        };
+        let server = self.relay.borrow().server_of(seat.id);
+        self.relay.borrow_mut().meter_ended(how);
+        if matches!(ending, Ending::Silent) {
+            self.relay.borrow_mut().meter_moved_silent();
+        }
+        self.relay.borrow_mut().attempt_ended(seat.id, outcome, true, None);
+        seat.answered = true;
+        drop(seat);
+        match (ending, server) {
+            (Ending::Passed, Some(server)) => self.pass_on(&server),
+            (ending, _) => self.close(ending).await,
+        }
+    }
+
+    /// Has another process of this relay go on with it, or moves the client if there is none any more.
+    fn pass_on(self, server: &ServerId) {
+        let bundle = Bundle {
+            head: self.head.as_sent().to_vec(),
+            server: server.0.as_ref().to_owned(),
+            to_client: self.to_client.to_vec(),
+            to_server: self.to_server.to_vec(),
+            watch: self.watch,
+            last: self.last,
+            unanswered: self.unanswered,
+            load: self.load,
+        };
+        let passed = Passed { bundle, client: self.client, server: self.server };
+        if let Err(passed) = self.relay.borrow_mut().pass_on(passed) {
+            passed.send_away(&self.timers);
+        }
+    }
+
     async fn run(&mut self, orders: &mut UnboundedReceiver<Order>) -> Ending {
         let look = self.timers.nap(LOOK);
         tokio::pin!(look);
@@ -583,9 +710,11 @@
             tokio::select! {
                 biased;
                 order = orders.recv(), if self.move_from.is_none() => {
-                    // Once a session stands, only a move can be wanted of it.
-                    if matches!(order, Some(Order::Move) | None) {
-                        self.move_from = Some(self.timers.clock.now());
+                    // Once a session stands, only a move can be wanted of it, or that another process goes on with it.
+                    match order {
+                        Some(Order::Move) | None => self.move_from = Some(self.timers.clock.now()),
+                        Some(Order::PassOn) => self.passing = true,
+                        Some(_) => {}
                     }
                 }
                 ready = self.server.readable(), if self.server_end.is_none() && self.to_client.is_empty() => {
@@ -637,6 +766,10 @@
         {
             return Some(Ending::Moved);
         }
+        if self.passing && self.client_end.is_none() && self.server_end.is_none() && self.move_from.is_none()
+        {
+            return Some(Ending::Passed);
+        }
         // While the client itself does not read, the card server is not read and not to blame.
         let silent = self.unanswered.is_some_and(|since| now >= since + SILENCE);
         (silent && self.to_client.is_empty()).then_some(Ending::Silent)
@@ -679,6 +812,7 @@
             self.relay.borrow_mut().message_took(self.id, took);
         }
         if let Some(load) = load {
+            self.load = Some(load);
             self.relay.borrow_mut().load_told(self.id, load);
         }
         self.relay.borrow_mut().meter_bytes(true, bytes.len());
@@ -705,7 +839,7 @@
         match ending {
             Ending::Server { reset } => mirror(&timers, client, reset).await,
             Ending::Client { reset } => mirror(&timers, server, reset).await,
-            Ending::Moved | Ending::Silent => {
+            Ending::Moved | Ending::Silent | Ending::Passed => {
                 if to_client.is_empty() && watch.between_lines() {
                     // It fits: nothing else waits to be sent.
                     let _ = client.try_write(MOVE);
--- a/src/relay/shutdown.rs
+++ b/src/relay/shutdown.rs
@@ -58,10 +58,15 @@
         if standing.is_empty() && asking == 0 && !crowd || now >= kill - GONE_BEFORE - LINGER {
             break;
         }
-        let due = due_now(standing.len(), (kill - MOVED_BEFORE).saturating_sub(now));
-        for id in standing.into_iter().take(due) {
-            relay.borrow_mut().meter(|book| book.count(Family::Moves, "restart"));
-            relay.borrow_mut().order(id, Order::Move);
+        if relay.borrow().tenure.handed_over() {
+            // The process that lets clients in goes on with them.
+            standing.iter().for_each(|id| relay.borrow_mut().order(*id, Order::PassOn));
+        } else {
+            let due = due_now(standing.len(), (kill - MOVED_BEFORE).saturating_sub(now));
+            for id in standing.into_iter().take(due) {
+                relay.borrow_mut().meter(|book| book.count(Family::Moves, "restart"));
+                relay.borrow_mut().order(id, Order::Move);
+            }
         }
         if now >= kill - MOVED_BEFORE {
             fail_the_rest(&relay);
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -221,21 +221,36 @@
 }
 
 #[test]
-fn sessions_stay_at_the_old_process_and_are_moved_when_it_is_told_to_stop() {
+fn a_session_goes_on_at_the_new_process_when_the_old_one_is_told_to_stop() {
     let world = World::new("sessions");
     let (mut old, _) = world.start("old.log");
-    let (_, client) = open(world.clients).expect("a session");
+    let (first, client) = open(world.clients).expect("a session");
+    assert!(first.starts_with("UP"), "{first}");
     let mut lines = BufReader::new(client.try_clone().expect("the other way"));
-    let (_new, _) = world.start("new.log");
-    (&client).write_all(b"card 7\r\n").expect("a write");
-    let mut line = String::new();
-    lines.read_line(&mut line).expect("a line");
-    assert_eq!(line, "OK\r\n");
+    let mut ask = |text: &str| {
+        (&client).write_all(text.as_bytes()).expect("a write");
+        let mut line = String::new();
+        lines.read_line(&mut line).expect("a line");
+        line
+    };
+    let (mut new, admin) = world.start("new.log");
+    assert_eq!(ask("card 1\r\n"), "OK\r\n");
+    // A line is under way while the session changes hands.
+    (&client).write_all(b"card ").expect("a write");
     signal(&old, "-TERM");
-    line.clear();
-    lines.read_to_string(&mut line).expect("an orderly end");
-    assert_eq!(line, "MOVE\r\n");
     assert_eq!(old.child.wait().expect("an end").code(), Some(0));
+    assert_eq!(ask("2\r\n"), "OK\r\n");
+    assert_eq!(figure(admin, "outstanding"), 1);
+    // A third process gets it from the second. Nobody follows that: its clients are moved.
+    let (mut third, _) = world.start("third.log");
+    signal(&new, "-TERM");
+    assert_eq!(new.child.wait().expect("an end").code(), Some(0));
+    assert_eq!(ask("card 3\r\n"), "OK\r\n");
+    signal(&third, "-TERM");
+    let mut rest = String::new();
+    lines.read_to_string(&mut rest).expect("an orderly end");
+    assert_eq!(rest, "MOVE\r\n");
+    assert_eq!(third.child.wait().expect("an end").code(), Some(0));
 }
 
 #[test]
