A card server put back counts from the restart that discovery tells; honeyknot call

Withheld keeps from when to when one was out: a start told since then is the truth, any other is not.

--- a/crates/decisions/src/withheld.rs
+++ b/crates/decisions/src/withheld.rs
@@ -1,8 +1,9 @@
 //! Card servers that operators have taken out by hand: an overlay between discovery's roll and the decisions.
 //!
 //! The decisions see a roll in which a card server that is out drains, whatever discovery says of it meanwhile, so
-//! that all they do about a drain is done: nothing new, and its connections moved at a pace. Put back, it has just
-//! started: operators restart what they take out, and discovery may tell so late or never. No I/O, no clock.
+//! that all they do about a drain is done: nothing new, and its connections moved at a pace. Put back, it counts as
+//! cold: operators restart what they take out. It has started when discovery says, if that is since it was taken out,
+//! and else just now, as discovery may tell late or never. No I/O, no clock.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -17,11 +18,21 @@
 /// It holds one entry for each card server that the roll names, and one name for each that it ever named.
 #[derive(Debug, Default)]
 pub struct Withheld {
-    out: BTreeSet<ServerId>,
+    /// Who is out, and since when.
+    out: BTreeMap<ServerId, Micros>,
     roll: BTreeMap<ServerId, ServerEntry>,
     named: BTreeSet<ServerId>,
-    /// When card servers were last put back by hand.
-    back: BTreeMap<ServerId, Micros>,
+    /// When card servers were last taken out by hand, and put back.
+    back: BTreeMap<ServerId, Absence>,
+}
+
+/// From when to when a card server was out by hand.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Absence {
+    /// Taken out.
+    pub from: Micros,
+    /// Put back.
+    pub to: Micros,
 }
 
 impl Withheld {
@@ -42,35 +53,36 @@
         }
         if whole {
             // Guards against a card server that is out, leaves the roll and comes back while it is still out.
-            let missing = self.out.iter().filter(|id| !self.roll.contains_key(*id));
+            let missing = self.out.keys().filter(|id| !self.roll.contains_key(*id));
             shown.extend(missing.map(|id| absent(id, ServerState::Draining)));
         }
         shown
     }
 
     /// Takes a card server out; what the decisions are to hear of it. Nothing if it is out already.
-    pub fn take_out(&mut self, id: &ServerId) -> Result<Option<ServerEntry>, Unknown> {
+    pub fn take_out(&mut self, now: Micros, id: &ServerId) -> Result<Option<ServerEntry>, Unknown> {
         if !self.named.contains(id) {
             return Err(Unknown);
         }
-        Ok(self.withhold(id))
+        Ok(self.withhold(now, id))
     }
 
     /// The same for one that another process of this relay has taken out: it was known there.
-    pub fn withhold(&mut self, id: &ServerId) -> Option<ServerEntry> {
+    pub fn withhold(&mut self, since: Micros, id: &ServerId) -> Option<ServerEntry> {
         self.named.insert(id.clone());
-        self.out.insert(id.clone()).then(|| match self.roll.get(id) {
-            Some(entry) => self.show(entry),
-            None => absent(id, ServerState::Draining),
-        })
+        if self.out.contains_key(id) {
+            return None;
+        }
+        self.out.insert(id.clone(), since);
+        Some(self.roll.get(id).map_or_else(|| absent(id, ServerState::Draining), |entry| self.show(entry)))
     }
 
     /// Puts a card server back; what the decisions are to hear of it. Nothing if it was not out.
     pub fn put_back(&mut self, now: Micros, id: &ServerId) -> Result<Option<ServerEntry>, Unknown> {
-        if !self.out.remove(id) {
+        let Some(from) = self.out.remove(id) else {
             return self.named.contains(id).then_some(None).ok_or(Unknown);
-        }
-        self.back.insert(id.clone(), now);
+        };
+        self.back.insert(id.clone(), Absence { from, to: now });
         Ok(Some(match self.roll.get(id) {
             Some(entry) => self.show(entry),
             None => absent(id, ServerState::Gone),
@@ -78,10 +90,11 @@
     }
 
     /// Notes that another process of this relay has put a card server back; what the decisions are to hear of it.
-    pub fn was_put_back(&mut self, at: Micros, id: &ServerId) -> Option<ServerEntry> {
+    pub fn was_put_back(&mut self, was: Absence, id: &ServerId) -> Option<ServerEntry> {
         self.named.insert(id.clone());
-        let last = self.back.entry(id.clone()).or_insert(at);
-        *last = at.max(*last);
+        if self.back.get(id).is_none_or(|known| known.to < was.to) {
+            self.back.insert(id.clone(), was);
+        }
         self.roll.get(id).map(|entry| self.show(entry))
     }
 
@@ -99,19 +112,19 @@
         told
     }
 
-    /// Who was put back, and when.
-    pub fn back(&self) -> impl Iterator<Item = (&ServerId, Micros)> {
-        self.back.iter().map(|(id, at)| (id, *at))
+    /// Who was put back, and how long each was out.
+    pub fn back(&self) -> impl Iterator<Item = (&ServerId, Absence)> {
+        self.back.iter().map(|(id, was)| (id, *was))
     }
 
-    /// Who is out.
-    pub fn out(&self) -> impl Iterator<Item = &ServerId> {
-        self.out.iter()
+    /// Who is out, and since when.
+    pub fn out(&self) -> impl Iterator<Item = (&ServerId, Micros)> {
+        self.out.iter().map(|(id, since)| (id, *since))
     }
 
     /// Whether a card server is out.
     pub fn holds(&self, id: &ServerId) -> bool {
-        self.out.contains(id)
+        self.out.contains_key(id)
     }
 
     /// How many card servers the roll lists.
@@ -121,18 +134,18 @@
 
     /// How many of the listed are out by hand, or among those avoided by choice.
     pub fn avoided<'a>(&'a self, by_choice: impl Iterator<Item = &'a ServerId>) -> usize {
-        let all: BTreeSet<&ServerId> = self.out.iter().chain(by_choice).collect();
+        let all: BTreeSet<&ServerId> = self.out.keys().chain(by_choice).collect();
         all.into_iter().filter(|id| self.roll.contains_key(*id)).count()
     }
 
     fn show(&self, entry: &ServerEntry) -> ServerEntry {
         let mut seen = entry.clone();
-        if self.out.contains(&entry.server) {
+        if self.out.contains_key(&entry.server) {
             seen.state = ServerState::Draining;
         }
-        // Guards against news that tell of the restart late, or of the start before it: as a start at another time
-        // they would make all that stands there now that of an earlier process.
-        seen.started = seen.started.max(self.back.get(&entry.server).copied().unwrap_or(0));
+        // Guards against news that tell of the restart late, and against those that never do.
+        let was = self.back.get(&entry.server).filter(|was| entry.started <= was.from);
+        seen.started = seen.started.max(was.map_or(0, |was| was.to));
         seen
     }
 }
--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! It decides nothing and counts nothing: calls are parsed in [`call`], answers come from the relay's own state.
 
+pub mod ask;
 pub mod call;
 
 use std::cell::RefCell;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,8 +1,10 @@
 //! The relay's command line.
 
+use std::net::SocketAddr;
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
+use honeyknot::admin::ask;
 use honeyknot::inspect::{self, Show};
 use honeyknot::logger::{self, Form};
 use honeyknot::relay::{
@@ -42,6 +44,14 @@
         #[command(subcommand)]
         show: Show,
     },
+    /// Make an operators' call and print the answer; the exit status is 1 for a `NO`, 2 if nobody answers.
+    Call {
+        /// Where the relay listens for operators.
+        address: SocketAddr,
+        /// The call: status, stats, maint-on ID or maint-off ID.
+        #[arg(required = true)]
+        words: Vec<String>,
+    },
     /// Print name and version.
     Version,
 }
@@ -54,6 +64,13 @@
         }
         Command::CheckConfig { files } => Config::from_environment(&files).map(|config| describe(&config)),
         Command::Metrics { show } => inspect::show(&show),
+        Command::Call { address, words } => match ask::ask(address, &words) {
+            Ok(answer) => {
+                print!("{answer}");
+                return if ask::agrees(&answer) { ExitCode::SUCCESS } else { ExitCode::from(1) };
+            }
+            Err(why) => Err(format!("{address}: {why}")),
+        },
         Command::Version => {
             println!("honeyknot {}", env!("CARGO_PKG_VERSION"));
             Ok(())
--- a/src/relay/handover.rs
+++ b/src/relay/handover.rs
@@ -7,11 +7,13 @@
 mod kept;
 mod line;
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::os::fd::{AsFd, OwnedFd};
 use std::path::PathBuf;
 use std::rc::Rc;
 
+use honeyknot_decisions::withheld::Absence;
 use serde::{Deserialize, Serialize};
 use tokio::net::{TcpListener, UnixListener};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
@@ -42,10 +44,10 @@
 /// What a process knows by hand, in the form that is handed over and kept.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct ByHand {
-    /// Card servers that are out.
-    pub out: Vec<String>,
-    /// Those put back, and when, in Unix microseconds.
-    pub back: Vec<(String, Micros)>,
+    /// Card servers that are out, and since when, in Unix microseconds.
+    pub out: Vec<(String, Micros)>,
+    /// Those put back: from when to when they were out.
+    pub back: Vec<(String, Micros, Micros)>,
 }
 
 /// What processes tell each other, one JSON object a line.
@@ -371,7 +373,8 @@
                 && line.say(&Word::Holding { descriptors }, &[]).await.is_ok()
         }
         Word::Hand { id, out, number } => {
-            relay.borrow_mut().hand(&ServerId(id.as_str().into()), out);
+            let now = relay.borrow().timers.clock.now();
+            relay.borrow_mut().hand(now, &ServerId(id.as_str().into()), out);
             line.say(&Word::Done { number }, &[]).await.is_ok()
         }
         Word::Done { number } => {
@@ -462,8 +465,8 @@
     /// What is out by hand, and what was put back, in the form that is handed over.
     pub(super) fn by_hand(&self) -> ByHand {
         let name = |id: &ServerId| id.0.as_ref().to_owned();
-        let back = self.withheld.back().map(|(id, at)| (name(id), at)).collect();
-        ByHand { out: self.withheld.out().map(name).collect(), back }
+        let back = self.withheld.back().map(|(id, was)| (name(id), was.from, was.to)).collect();
+        ByHand { out: self.withheld.out().map(|(id, since)| (name(id), since)).collect(), back }
     }
 
     /// Takes on that card servers leave, as another process was told.
@@ -475,21 +478,25 @@
 
     /// Takes on what another process, or an earlier one, had out by hand.
     fn take_by_hand(&mut self, by_hand: ByHand) {
-        for (id, at) in &by_hand.back {
-            let seen = self.withheld.was_put_back(*at, &ServerId(id.as_str().into()));
+        let server = |id: &String| ServerId(id.as_str().into());
+        for (id, from, to) in &by_hand.back {
+            let seen = self.withheld.was_put_back(Absence { from: *from, to: *to }, &server(id));
             self.show(seen);
         }
-        let out: Vec<ServerId> = by_hand.out.iter().map(|id| ServerId(id.as_str().into())).collect();
-        let gone: Vec<ServerId> = self.withheld.out().filter(|id| !out.contains(id)).cloned().collect();
-        gone.iter().for_each(|id| self.hand(id, false));
-        out.iter().for_each(|id| self.hand(id, true));
+        let out: BTreeMap<ServerId, Micros> =
+            by_hand.out.iter().map(|(id, since)| (server(id), *since)).collect();
+        let held = self.withheld.out().map(|(id, _)| id);
+        let gone: Vec<ServerId> = held.filter(|id| !out.contains_key(*id)).cloned().collect();
+        let now = self.timers.clock.now();
+        gone.iter().for_each(|id| self.hand(now, id, false));
+        out.iter().for_each(|(id, since)| self.hand(*since, id, true));
     }
 
     /// Does what an operator has done at another process.
-    fn hand(&mut self, id: &ServerId, out: bool) {
+    fn hand(&mut self, at: Micros, id: &ServerId, out: bool) {
         let seen = match out {
-            true => self.withheld.withhold(id),
-            false => self.withheld.put_back(self.timers.clock.now(), id).ok().flatten(),
+            true => self.withheld.withhold(at, id),
+            false => self.withheld.put_back(at, id).ok().flatten(),
         };
         self.show(seen);
     }
--- a/src/relay/handover/kept.rs
+++ b/src/relay/handover/kept.rs
@@ -133,7 +133,8 @@
 
     #[test]
     fn what_is_kept_reads_back_whole_or_not_at_all() {
-        let by_hand = ByHand { out: vec!["s-1".into(), "s-2".into()], back: vec![("s-3".into(), 17)] };
+        let by_hand =
+            ByHand { out: vec![("s-1".into(), 5), ("s-2".into(), 7)], back: vec![("s-3".into(), 9, 17)] };
         let bytes = encode(&by_hand);
         assert_eq!(decode(&bytes), Ok(by_hand));
         for cut in 0..bytes.len() {
--- a/src/relay/held.rs
+++ b/src/relay/held.rs
@@ -68,7 +68,7 @@
 
     /// Takes a card server out by hand. When this returns, nothing new goes there.
     pub fn take_out(&mut self, id: &ServerId) -> Result<(), Unknown> {
-        let seen = self.withheld.take_out(id)?;
+        let seen = self.withheld.take_out(self.timers.clock.now(), id)?;
         self.show(seen);
         Ok(())
     }
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -317,3 +317,35 @@
     assert_eq!(figure(admin, "ejected"), 0);
     fourth.logged("what was out by hand is passed over");
 }
+
+#[test]
+fn a_call_from_the_command_line_tells_the_answer_by_its_exit_status() {
+    let world = World::new("call");
+    let (_relay, admin) = world.start("log");
+    let told = |words: &[&str]| {
+        let at = admin.to_string();
+        let output = honeyknot(&world.config, &[&["call", &at], words].concat()).output().expect("a run");
+        (output.status.code(), String::from_utf8_lossy(&output.stdout).into_owned())
+    };
+    assert_eq!(told(&["status"]), (Some(0), "YES\n".to_owned()));
+    assert_eq!(told(&["maint-on", "s-1"]), (Some(0), "YES\n".to_owned()));
+    assert_eq!(told(&["maint-on", "nobody"]).0, Some(1));
+    let (code, figures) = told(&["stats"]);
+    assert!(code == Some(0) && figures.ends_with("\nEND\n"), "{figures}");
+    let nobody = honeyknot(&world.config, &["call", &free().to_string(), "status"]).output().expect("a run");
+    assert_eq!(nobody.status.code(), Some(2));
+}
+
+#[test]
+fn an_operators_address_that_is_taken_ends_the_start_with_its_name() {
+    let world = World::new("taken");
+    let taken = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let admin = taken.local_addr().expect("an address");
+    let output = world.command(admin, "log").output().expect("a run");
+    let log = fs::read_to_string(world.folder.0.join("log")).expect("a log");
+    assert!(output.status.code() == Some(2) && log.contains("`admin_addr`"), "{log}");
+    // The relay that serves is not hurt by it.
+    let (_relay, _) = world.start("serves");
+    assert_eq!(world.command(admin, "again").output().expect("a run").status.code(), Some(2));
+    assert!(open(world.clients).expect("it serves").0.starts_with("UP"));
+}
