Who writes its first line slowly stays in a full crowd, and has 2.5 s

Suspected: the oldest of the crowd is turned out, and a true client may take 2 s to write (HEAD_WAIT was 2 s as well). src/relay/crowd.rs: turn_out_oldest. Now three stages, answered, silent, speaking; the least far makes room first. Test: crowd.rs.

--- a/src/relay/crowd.rs
+++ b/src/relay/crowd.rs
@@ -1,8 +1,9 @@
 //! The crowd at the door: connections that have not asked for a study session yet, or were just turned away.
 //!
 //! Guards against clients that connect by the hundred and say nothing: they would hold every descriptor, and
-//! nobody else would get in. The crowd is held within a part of the descriptors; whoever has stood there longest
-//! makes room.
+//! nobody else would get in. The crowd is held within a part of the descriptors. Who has had an answer makes
+//! room first, then who has said nothing, the oldest first; then who has begun a first line and got no further for
+//! longest. Guards against turning out a client on a slow link for a flood of silent ones.
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -11,40 +12,78 @@
 
 use tokio::task::AbortHandle;
 
-/// Everybody at the door, by the order in which they came.
+/// Everybody at the door, in the order in which they make room.
 #[derive(Clone, Default)]
 pub struct Crowd(Rc<RefCell<Door>>);
 
+/// How far somebody at the door is; who is less far makes room first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Stage {
+    /// Has had an answer.
+    Answered,
+    /// Has said nothing that could be the beginning of a first line.
+    Silent,
+    /// Has begun a first line.
+    Speaks,
+}
+
+/// The stage, and a number that grows with time.
+type Rank = (Stage, u64);
+
 #[derive(Default)]
 struct Door {
     last: u64,
-    standing: BTreeMap<u64, Option<AbortHandle>>,
+    standing: BTreeMap<Rank, Option<AbortHandle>>,
+}
+
+impl Door {
+    fn number(&mut self) -> u64 {
+        self.last += 1;
+        self.last
+    }
 }
 
 /// A place in the crowd, left when it is dropped.
 pub struct Place {
     crowd: Crowd,
-    number: u64,
+    rank: Rank,
+}
+
+impl Place {
+    /// Its first line goes on.
+    pub fn speaks(&mut self) {
+        let rank = (Stage::Speaks, self.crowd.0.borrow_mut().number());
+        self.take(rank);
+    }
+
+    /// It has had an answer.
+    pub fn answered(&mut self) {
+        self.take((Stage::Answered, self.rank.1));
+    }
+
+    fn take(&mut self, rank: Rank) {
+        let mut door = self.crowd.0.borrow_mut();
+        // One that was turned out just now has no place any more.
+        if let Some(task) = door.standing.remove(&self.rank) {
+            door.standing.insert(rank, task);
+            self.rank = rank;
+        }
+    }
 }
 
 impl Drop for Place {
     fn drop(&mut self) {
-        self.crowd.0.borrow_mut().standing.remove(&self.number);
+        self.crowd.0.borrow_mut().standing.remove(&self.rank);
     }
 }
 
 impl Crowd {
     /// Starts serving a connection, which stands in the crowd as long as it holds its place.
     pub fn admit<F: Future<Output = ()> + 'static>(&self, serve: impl FnOnce(Place) -> F) {
-        let number = {
-            let mut door = self.0.borrow_mut();
-            door.last += 1;
-            let number = door.last;
-            door.standing.insert(number, None);
-            number
-        };
-        let task = tokio::task::spawn_local(serve(Place { crowd: self.clone(), number }));
-        if let Some(place) = self.0.borrow_mut().standing.get_mut(&number) {
+        let rank = (Stage::Silent, self.0.borrow_mut().number());
+        self.0.borrow_mut().standing.insert(rank, None);
+        let task = tokio::task::spawn_local(serve(Place { crowd: self.clone(), rank }));
+        if let Some(place) = self.0.borrow_mut().standing.get_mut(&rank) {
             *place = Some(task.abort_handle());
         }
     }
@@ -59,10 +98,58 @@
         self.len() == 0
     }
 
-    /// Closes the connection that has stood there longest; false if there is none.
-    pub fn turn_out_oldest(&self) -> bool {
-        let oldest = self.0.borrow_mut().standing.pop_first();
+    /// Closes the connection that is to make room first; false if there is none.
+    pub fn turn_one_out(&self) -> bool {
+        let first = self.0.borrow_mut().standing.pop_first();
         // Its task ends, and gives its descriptor back, when it would next have run.
-        oldest.and_then(|(_, task)| task).map(|task| task.abort()).is_some()
+        first.and_then(|(_, task)| task).map(|task| task.abort()).is_some()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Those at the door, in the order in which they are turned out.
+    fn order(names: &[&'static str], tell: impl Fn(&'static str, u32, &mut Place)) -> Vec<&'static str> {
+        let (crowd, places) = (Crowd::default(), RefCell::new(Vec::new()));
+        let runtime = tokio::runtime::Builder::new_current_thread().build().expect("a runtime");
+        tokio::task::LocalSet::new().block_on(&runtime, async {
+            for name in names {
+                crowd.admit(|place| {
+                    places.borrow_mut().push((*name, place));
+                    std::future::pending()
+                });
+            }
+            for round in 0..2 {
+                places.borrow_mut().iter_mut().for_each(|(name, place)| tell(name, round, place));
+            }
+            let mut out = Vec::new();
+            while crowd.turn_one_out() {
+                let standing = crowd.0.borrow().standing.keys().copied().collect::<Vec<_>>();
+                let gone = places.borrow().iter().position(|(_, place)| !standing.contains(&place.rank));
+                out.push(places.borrow_mut().remove(gone.expect("one is gone")).0);
+            }
+            out
+        })
+    }
+
+    #[test]
+    fn who_says_nothing_makes_room_before_who_writes_slowly() {
+        let told = order(&["slow", "silent", "steady", "answered", "late"], |name, round, place| {
+            match (name, round) {
+                ("slow" | "answered", 0) | ("steady", _) => place.speaks(),
+                ("answered", _) => place.answered(),
+                _ => {}
+            }
+        });
+        assert_eq!(told, ["answered", "silent", "late", "slow", "steady"]);
+        // Who goes on writing stays longer than who came later and has stopped.
+        let told = order(&["goes on", "stopped"], |name, round, place| {
+            if name == "goes on" || round == 0 {
+                place.speaks();
+            }
+        });
+        assert_eq!(told, ["stopped", "goes on"]);
     }
 }
--- a/src/relay/lines.rs
+++ b/src/relay/lines.rs
@@ -53,6 +53,11 @@
     pub returning: bool,
 }
 
+/// Whether these bytes may be the beginning of a session's first line.
+pub fn may_open(bytes: &[u8]) -> bool {
+    bytes.iter().zip(b"OPEN ").all(|(a, b)| a == b)
+}
+
 impl SessionHead {
     /// Parses a whole first line, with its CRLF.
     pub fn parse(line: Bytes) -> Result<SessionHead, Malformed> {
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -582,7 +582,7 @@
         let most = self.most_descriptors();
         let short = held >= most.saturating_sub(RESERVE);
         let spare = held < most.saturating_sub(LAST_RESERVE);
-        (!short || spare && self.crowd.turn_out_oldest()).then(|| Held::new(&self.descriptors))
+        (!short || spare && self.crowd.turn_one_out()).then(|| Held::new(&self.descriptors))
     }
 
     /// Marks a client's id as open; none if it is open already, or if the class does not exist.
@@ -600,11 +600,11 @@
     fn room_at_the_door(&self) -> bool {
         let most = self.most_descriptors();
         if self.crowd.len() >= most / CROWD_PART {
-            self.crowd.turn_out_oldest();
+            self.crowd.turn_one_out();
         }
         let full = self.descriptors.get() >= most.saturating_sub(LAST_RESERVE);
         if full {
-            self.crowd.turn_out_oldest();
+            self.crowd.turn_one_out();
         }
         !full
     }
--- a/src/relay/session.rs
+++ b/src/relay/session.rs
@@ -20,7 +20,8 @@
 
 /// A connection that has not asked for a session after this is ended, however slowly its line drips and however
 /// often it sent `PING`: it is owed an answer or a close within 3 s, of which it may have waited a part to be accepted.
-const HEAD_WAIT: Micros = 2_000_000;
+/// Clients on slow links take 2 s to write their line.
+const HEAD_WAIT: Micros = 2_500_000;
 /// Buffers of a session, each way: more than the longest line, so that one always fits.
 const BUFFER: usize = 4096;
 /// What is read of a connection that gets its last line, at the most: closing with unread bytes may reset the
@@ -41,13 +42,14 @@
 const ADOPT_TRY: Micros = 5_000_000;
 
 /// Serves a connection that a front layer or a client has opened.
-pub async fn serve(relay: Shared, client: TcpStream, held: Held, place: Place) {
+pub async fn serve(relay: Shared, client: TcpStream, held: Held, mut place: Place) {
     let _ = client.set_nodelay(true);
     let timers = relay.borrow().timers.clone();
     let mut side = Client { stream: client, bytes: BytesMut::with_capacity(512), timers, _held: held };
-    match side.first_line(&relay).await {
+    match side.first_line(&relay, &mut place).await {
         Ok(Some(head)) => {
             let Some(_open) = relay.borrow().open_id(&head) else {
+                place.answered();
                 debug!(target: "client", why = "the id of an open connection, or no known class", "turned away");
                 relay.borrow_mut().meter_head(&head, Answer::Failed);
                 return side.farewell(FAILED).await;
@@ -61,6 +63,7 @@
         Err(Malformed(why)) => {
             debug!(target: "client", why, "turned away");
             relay.borrow_mut().meter_failed("malformed");
+            place.answered();
             side.farewell(FAILED).await;
         }
     }
@@ -77,13 +80,15 @@
 
 impl Client {
     /// Reads lines until the head of a session; none if there is nothing to answer.
-    async fn first_line(&mut self, relay: &Shared) -> Result<Option<SessionHead>, Malformed> {
+    async fn first_line(
+        &mut self, relay: &Shared, place: &mut Place,
+    ) -> Result<Option<SessionHead>, Malformed> {
         let timers = self.timers.clone();
         let due = timers.clock.now() + HEAD_WAIT;
         let mut pinged = false;
         loop {
             let end = tokio::select! {
-                end = self.line() => end?,
+                end = self.line(place) => end?,
                 () = timers.until(due) => match pinged && self.bytes.is_empty() {
                     true => None,
                     false => return Err(Malformed("a first line is not whole in time")),
@@ -102,11 +107,12 @@
                 return Ok(None);
             }
             pinged = true;
+            place.answered();
         }
     }
 
     /// Reads until a line is whole; none if the client leaves before it begins one.
-    async fn line(&mut self) -> Result<Option<usize>, Malformed> {
+    async fn line(&mut self, place: &mut Place) -> Result<Option<usize>, Malformed> {
         loop {
             if let Some(end) = lines::first_line(&self.bytes)? {
                 return Ok(Some(end));
@@ -114,6 +120,7 @@
             match self.stream.read_buf(&mut self.bytes).await {
                 Ok(0) if !self.bytes.is_empty() => return Err(Malformed("a first line is cut short")),
                 Ok(0) | Err(_) => return Ok(None),
+                Ok(_) if lines::may_open(&self.bytes) => place.speaks(),
                 Ok(_) => {}
             }
         }
