Read once more: one way to send a client away, callers held plainly

MOVE and the end of both sides stood twice (Passed::send_away, Pump::close); the callers' list was shared with nobody.

--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -5,9 +5,7 @@
 pub mod ask;
 pub mod call;
 
-use std::cell::RefCell;
 use std::collections::VecDeque;
-use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -36,7 +34,7 @@
 /// Answers calls until the relay ends.
 pub async fn serve(relay: Shared, listener: TcpListener) {
     let timers = relay.borrow().timers.clone();
-    let callers: Rc<RefCell<Callers>> = Rc::default();
+    let mut callers = Callers::default();
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -46,17 +44,16 @@
                 continue;
             }
         };
-        callers.borrow_mut().retain(|(task, _)| !task.is_finished());
-        if callers.borrow().len() >= CALLERS {
+        callers.retain(|(task, _)| !task.is_finished());
+        if callers.len() >= CALLERS
+            && let Some((task, since)) = callers.pop_front()
+        {
             // Guards against callers that hold connections and say nothing: whoever has had longest makes room.
-            let oldest = callers.borrow_mut().pop_front();
-            if let Some((task, since)) = oldest {
-                timers.until(since + NEW).await;
-                task.abort();
-            }
+            timers.until(since + NEW).await;
+            task.abort();
         }
         let task = tokio::task::spawn_local(answer(relay.clone(), stream));
-        callers.borrow_mut().push_back((task.abort_handle(), timers.clock.now()));
+        callers.push_back((task.abort_handle(), timers.clock.now()));
         // It is read before another can take its place.
         tokio::task::yield_now().await;
     }
--- a/src/relay/session.rs
+++ b/src/relay/session.rs
@@ -493,6 +493,15 @@
     }
 }
 
+/// Moves a client politely, if `MOVE` fits between what was sent to it, and ends both sides.
+async fn send_away(timers: &Rc<Timers>, client: TcpStream, server: TcpStream, fits: bool) {
+    if fits {
+        // Nothing else waits to be sent, so there is room for it.
+        let _ = client.try_write(MOVE);
+    }
+    tokio::join!(end(timers, client), end(timers, server));
+}
+
 /// All that a session that stands is, but its sockets, in the form in which it is passed on.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Bundle {
@@ -525,12 +534,9 @@
     /// Moves the client, as there is nobody to pass it on to.
     pub fn send_away(self, timers: &Rc<Timers>) {
         let Passed { bundle, client, server } = self;
-        if bundle.to_client.is_empty() && bundle.watch.between_lines() {
-            // It fits: nothing else waits to be sent.
-            let _ = client.try_write(MOVE);
-        }
+        let fits = bundle.to_client.is_empty() && bundle.watch.between_lines();
         let timers = timers.clone();
-        tokio::task::spawn_local(async move { tokio::join!(end(&timers, client), end(&timers, server)) });
+        tokio::task::spawn_local(async move { send_away(&timers, client, server, fits).await });
     }
 }
 
@@ -847,11 +853,8 @@
             Ending::Server { reset } => mirror(&timers, client, reset).await,
             Ending::Client { reset } => mirror(&timers, server, reset).await,
             Ending::Moved | Ending::Silent | Ending::Passed => {
-                if to_client.is_empty() && watch.between_lines() {
-                    // It fits: nothing else waits to be sent.
-                    let _ = client.try_write(MOVE);
-                }
-                tokio::join!(end(&timers, client), end(&timers, server));
+                let fits = to_client.is_empty() && watch.between_lines();
+                send_away(&timers, client, server, fits).await;
             }
         }
     }
