A fault harness: fleets of processes, a proxy between any two, books of the far side

Need: what many relays do together when parts fail could not be tried; one thread was list service, card servers and clients at once.

crates/lab/src/fleet: list service, card servers (three processes), clients, links and the relays' warden are processes, steered by lines on standard input and ended by its end. A link can be late, lossy, silent, cut one way, refused, reset after N bytes, half open, slow or dripping; processes are killed, stopped, started, looped.

Tests: eleven planted lines, each of which one promise must catch, and their harmless likenesses; every fault of a link shows and passes; after SIGKILL, SIGINT and SIGTERM of the harness no process is left, a stopped relay among them. First found by them: a reset waited for the other way of its link (join for try_join).

--- /dev/null
+++ b/crates/lab/src/fleet/cards.rs
@@ -0,0 +1,208 @@
+//! Card servers as a process: some of them, each with a model of what it can do.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+use super::Plan;
+use super::book::{Book, Seen};
+use crate::model::{CardModel, Held, Make, Opened};
+
+/// Usual sessions that fill a card server.
+pub const CAPACITY: f64 = 30.0;
+/// What a card server starts with, and how long it takes to have all.
+const COLD_FROM: f64 = 0.32;
+/// See [`COLD_FROM`].
+pub const COLD: u64 = 9_000_000;
+/// How often a card server enters how it is doing.
+const ENTER: Duration = Duration::from_millis(250);
+/// How long a set-up takes.
+const SETUP: Duration = Duration::from_millis(8);
+/// Work a second of a usual session, in the unit that `LOAD` tells.
+const USUAL_LOAD: f64 = 58_000.0;
+
+struct Card {
+    s: usize,
+    model: CardModel,
+    open: usize,
+    book: Book,
+    sessions: u64,
+    drains: bool,
+}
+
+type Shared = Rc<RefCell<Card>>;
+
+/// Starts the card servers of this part. Steered by: `drain CARD`, `undrain CARD`.
+pub async fn start(plan: Plan) -> Result<impl FnMut(&str), String> {
+    let (part, parts) = plan.part;
+    let book = Book::open(&plan.folder, &format!("cards{part}"))?;
+    book.watch_lag();
+    let mut cards = BTreeMap::new();
+    for s in (0..plan.cards).filter(|s| s % parts == part) {
+        let make = Make {
+            weight: 1.0,
+            capacity: CAPACITY,
+            cold_from: COLD_FROM,
+            cold: COLD,
+            deck_cost: 3.0,
+            report_every: 500_000,
+            report_late: 0,
+        };
+        let started = if plan.cold_cards { super::now() } else { super::now() - 2 * COLD };
+        let model = CardModel::new(make, started);
+        let card = Card { s, model, open: 0, book: book.clone(), sessions: 0, drains: false };
+        let card = Rc::new(RefCell::new(card));
+        let at = plan.card(s);
+        let listener = TcpListener::bind(at).await.map_err(|e| format!("card server at {at}: {e}"))?;
+        let served = card.clone();
+        spawn_local(async move {
+            loop {
+                if let Ok((stream, _)) = listener.accept().await {
+                    spawn_local(serve(served.clone(), stream));
+                }
+            }
+        });
+        cards.insert(s, card);
+    }
+    let entered: Vec<Shared> = cards.values().cloned().collect();
+    spawn_local(async move {
+        loop {
+            sleep(ENTER).await;
+            for card in &entered {
+                let card = card.borrow();
+                let (s, open, x0) = (card.s, card.open, card.model.x0(super::now()));
+                let (worst, fallen) = (card.model.worst_multiple(), card.model.fallen());
+                card.book.enter(Seen::Card { s, open, x0, worst, fallen });
+            }
+        }
+    });
+    Ok(move |line: &str| match line.split(' ').collect::<Vec<_>>()[..] {
+        [verb @ ("drain" | "undrain"), s] => {
+            if let Some(card) = s.parse().ok().and_then(|s: usize| cards.get(&s)) {
+                card.borrow_mut().drains = verb == "drain";
+            }
+        }
+        ["end"] => {}
+        _ => eprintln!("card servers: unknown: {line}"),
+    })
+}
+
+/// What a connection holds.
+struct Seat {
+    card: Shared,
+    session: Option<u64>,
+    /// The id of the attempt that is out.
+    out: Option<String>,
+}
+
+impl Seat {
+    fn answered(&mut self, up: bool) {
+        if let Some(id) = self.out.take() {
+            let card = self.card.borrow();
+            card.book.enter(Seen::Answer { s: card.s, id, up });
+        }
+    }
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        self.answered(false);
+        let mut card = self.card.borrow_mut();
+        card.open -= 1;
+        if let Some(session) = self.session {
+            card.model.close(session);
+        }
+    }
+}
+
+async fn serve(card: Shared, stream: TcpStream) {
+    let _ = stream.set_nodelay(true);
+    {
+        let mut card = card.borrow_mut();
+        card.open += 1;
+        card.book.enter(Seen::Connect { s: card.s });
+    }
+    let mut seat = Seat { card: card.clone(), session: None, out: None };
+    let mut stream = BufReader::new(stream);
+    let mut line = String::new();
+    loop {
+        line.clear();
+        match stream.read_line(&mut line).await {
+            Ok(n) if n > 0 && line.len() <= 4096 => {}
+            _ => return,
+        }
+        let answer = match line.trim_end().split(' ').collect::<Vec<_>>()[..] {
+            ["PING"] => "PONG\r\n".to_owned(),
+            ["STATS"] => {
+                let mut card = card.borrow_mut();
+                card.book.enter(Seen::Probe { s: card.s });
+                let report = card.model.report(super::now());
+                let (util, ms, x0) = (report.util, report.latency_ms, report.x0);
+                format!("PONG util={util:.3},latency_ms={ms:.1},x0={x0:.3}\r\n")
+            }
+            ["OPEN", id, _, figures] => return session(&mut seat, &mut stream, id, figures).await,
+            _ => "SYNTAX\r\n".to_owned(),
+        };
+        if stream.write_all(answer.as_bytes()).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn session(seat: &mut Seat, stream: &mut BufReader<TcpStream>, id: &str, figures: &str) {
+    let card = seat.card.clone();
+    {
+        let card = card.borrow();
+        card.book.enter(Seen::First { s: card.s, id: id.to_owned() });
+    }
+    seat.out = Some(id.to_owned());
+    sleep(SETUP).await;
+    let deck = figures.split(',').find_map(|f| f.strip_prefix("g="));
+    let deck = deck.and_then(|g| u64::from_str_radix(g, 16).ok()).unwrap_or(0);
+    let opened = {
+        let mut card = card.borrow_mut();
+        card.sessions += 1;
+        let number = card.sessions;
+        let held = Held { load: 1.0, deck, foreign: false, from: 0 };
+        match card.drains {
+            true => Opened::Busy,
+            false => {
+                let opened = card.model.open(super::now(), number, held);
+                if opened != Opened::Busy {
+                    seat.session = Some(number);
+                }
+                opened
+            }
+        }
+    };
+    if opened == Opened::Busy {
+        let _ = stream.write_all(b"BUSY\r\n").await;
+        return seat.answered(false);
+    }
+    let up = format!("UP r-{}\r\nLOAD {USUAL_LOAD:.1}\r\n", card.borrow().s);
+    seat.answered(true);
+    if stream.write_all(up.as_bytes()).await.is_err() {
+        return;
+    }
+    let mut line = String::new();
+    loop {
+        line.clear();
+        match stream.read_line(&mut line).await {
+            Ok(n) if n > 0 => {}
+            _ => return,
+        }
+        if card.borrow().drains {
+            let _ = stream.write_all(b"MOVE\r\n").await;
+            return;
+        }
+        if stream.write_all(b"OK\r\n").await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/fleet/run.rs
@@ -0,0 +1,274 @@
+//! Plays a day: starts the parts, carries out the script, ends everything, reads the books.
+
+use std::collections::BTreeSet;
+use std::future::Future;
+use std::path::PathBuf;
+use std::process::Stdio;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::seq::SliceRandom;
+use rustix::process::{Pid, Signal, kill_process};
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::process::{Child, ChildStdin, Command};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
+
+use super::book::{Book, Line, Seen, read};
+use super::script::{Script, Set, Step};
+use super::{MOST_CARDS, MOST_RELAYS, Plan};
+
+/// Processes that the card servers are spread over.
+pub const CARD_PARTS: usize = 3;
+/// A part that is not ready after this has failed.
+const READY: Duration = Duration::from_secs(20);
+/// Time for answers that are still owed when the day is over.
+const OWED: Duration = Duration::from_millis(1_700);
+
+/// A part's process.
+struct Part {
+    child: Child,
+    steer: ChildStdin,
+}
+
+impl Part {
+    async fn start(lab: &PathBuf, kind: &str, plan: &Plan) -> Result<Part, String> {
+        let mut command = Command::new(lab);
+        command.args(["part", kind]).stdin(Stdio::piped()).stdout(Stdio::piped()).kill_on_drop(true);
+        let mut child = command.spawn().map_err(|e| format!("{}: {e}", lab.display()))?;
+        let (Some(mut steer), Some(told)) = (child.stdin.take(), child.stdout.take()) else {
+            return Err(format!("the part `{kind}` cannot be steered"));
+        };
+        let text = serde_json::to_string(plan).map_err(|e| e.to_string())?;
+        steer
+            .write_all(format!("{text}\n").as_bytes())
+            .await
+            .map_err(|e| format!("the part `{kind}`: {e}"))?;
+        let mut line = String::new();
+        let mut told = BufReader::new(told);
+        match timeout(READY, told.read_line(&mut line)).await {
+            Ok(Ok(n)) if n > 0 => Ok(Part { child, steer }),
+            _ => Err(format!("the part `{kind}` did not start")),
+        }
+    }
+
+    async fn tell(&mut self, line: &str) {
+        // One that is stopped or gone hears nothing; the script may want that.
+        let _ = self.steer.write_all(format!("{line}\n").as_bytes()).await;
+    }
+
+    fn signal(&self, signal: Signal) {
+        if let Some(pid) = self.child.id().and_then(|id| Pid::from_raw(id as i32)) {
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    async fn end(mut self) {
+        self.signal(Signal::CONT);
+        drop(self.steer);
+        if timeout(Duration::from_secs(5), self.child.wait()).await.is_err() {
+            let _ = self.child.kill().await;
+        }
+    }
+}
+
+/// A fleet that plays.
+struct Fleet {
+    lab: PathBuf,
+    plan: Plan,
+    book: Book,
+    list: Option<Part>,
+    cards: Vec<Option<Part>>,
+    relays: Part,
+    clients: Part,
+    links: Option<Part>,
+    /// Relays that run, as far as the script goes.
+    up: BTreeSet<usize>,
+}
+
+/// Finds a second byte of addresses that nobody uses.
+pub fn free_net(seed: u64) -> Result<u8, String> {
+    let from = (u64::from(std::process::id()) ^ seed) as u8;
+    let nets = (0..200u8).map(|i| 20 + (from.wrapping_add(i)) % 200);
+    let mut free = nets.filter(|net| {
+        let at = [(127, *net, 10, 1, 8500), (127, *net, 20, 1, 6000), (127, *net, 0, 1, 5000)];
+        at.iter().all(|(a, b, c, d, port)| {
+            let ip = std::net::Ipv4Addr::new(*a, *b, *c, *d);
+            std::net::TcpListener::bind((ip, *port)).is_ok()
+        })
+    });
+    free.next().ok_or_else(|| "all addresses for fleets are in use".to_owned())
+}
+
+/// A day that was played: when it began and ended, and all books.
+pub struct Played {
+    /// Unix microseconds.
+    pub began: u64,
+    /// Unix microseconds; what came later is the end of all processes.
+    pub ended: u64,
+    /// The lines of all books.
+    pub lines: Vec<Line>,
+}
+
+/// Plays a script. `lab` is the laboratory's program; `stop` ends the day early, which is an error.
+pub async fn play(
+    plan: &Plan, script: &Script, lab: PathBuf, stop: impl Future<Output = ()>,
+) -> Result<Played, String> {
+    if plan.relays == 0 || plan.relays > MOST_RELAYS || plan.cards == 0 || plan.cards > MOST_CARDS {
+        return Err(format!("allowed are 1 to {MOST_RELAYS} relays and 1 to {MOST_CARDS} card servers"));
+    }
+    let mut plan = plan.clone();
+    plan.links.clone_from(&script.links);
+    let book = Book::open(&plan.folder, "harness")?;
+    let links = match plan.links.is_empty() {
+        true => None,
+        false => Some(Part::start(&lab, "links", &plan).await?),
+    };
+    let list = Some(Part::start(&lab, "list", &plan).await?);
+    let mut cards = Vec::new();
+    for part in 0..CARD_PARTS {
+        let plan = Plan { part: (part, CARD_PARTS), ..plan.clone() };
+        cards.push(Some(Part::start(&lab, "cards", &plan).await?));
+    }
+    let relays = Part::start(&lab, "relays", &plan).await?;
+    let clients = Part::start(&lab, "clients", &plan).await?;
+    let (began, at) = (super::now(), Instant::now());
+    let up = BTreeSet::new();
+    let mut fleet = Fleet { lab, plan, book, list, cards, relays, clients, links, up };
+    let day = async {
+        for (n, (due, step)) in script.steps.iter().enumerate() {
+            sleep_until(at + *due).await;
+            fleet.carry_out(n, step).await?;
+        }
+        sleep_until(at + script.length).await;
+        fleet.clients.tell("close").await;
+        sleep(OWED).await;
+        Ok(())
+    };
+    let done = tokio::select! {
+        done = day => done,
+        () = stop => Err("interrupted".to_owned()),
+    };
+    let (folder, ended) = (fleet.plan.folder.clone(), super::now());
+    fleet.end().await;
+    done?;
+    let mut lines = read(&folder)?;
+    lines.retain(|line| line.t <= ended);
+    Ok(Played { began, ended, lines })
+}
+
+impl Fleet {
+    async fn end(self) {
+        self.clients.end().await;
+        self.relays.end().await;
+        let rest = self.cards.into_iter().chain([self.list, self.links]);
+        for part in rest.flatten() {
+            part.end().await;
+        }
+    }
+
+    /// The relays that a set means, in the order in which they are dealt with.
+    fn choose(&self, n: usize, set: &Set) -> Vec<usize> {
+        let all = 0..self.plan.relays;
+        match set {
+            Set::All => all.collect(),
+            Set::Among(from, to) => all.filter(|r| (from..=to).contains(&r)).collect(),
+            Set::Dead => all.filter(|r| !self.up.contains(r)).collect(),
+            Set::Part(part) => {
+                let mut all: Vec<usize> = all.collect();
+                all.shuffle(&mut self.plan.rng(0x5e7 + n as u64));
+                all.truncate((self.plan.relays as f64 * part).round() as usize);
+                all
+            }
+        }
+    }
+
+    async fn carry_out(&mut self, n: usize, step: &Step) -> Result<(), String> {
+        let join = |all: &[usize]| all.iter().map(usize::to_string).collect::<Vec<_>>().join(",");
+        match step {
+            Step::Start(set, over) => {
+                let chosen = self.choose(n, set);
+                self.up.extend(&chosen);
+                if over.is_zero() {
+                    self.relays.tell(&format!("start {}", join(&chosen))).await;
+                    return Ok(());
+                }
+                let mut rng = self.plan.rng(0x57a7 + n as u64);
+                let mut times: Vec<f64> =
+                    chosen.iter().map(|_| rng.random_range(0.0..over.as_secs_f64())).collect();
+                times.sort_by(f64::total_cmp);
+                let began = Instant::now();
+                for (time, relay) in times.into_iter().zip(chosen) {
+                    sleep_until(began + Duration::from_secs_f64(time)).await;
+                    self.relays.tell(&format!("start {relay}")).await;
+                }
+            }
+            Step::Signal(verb, set) => {
+                let chosen = self.choose(n, set);
+                if matches!(*verb, "kill" | "term") {
+                    self.up.retain(|r| !chosen.contains(r));
+                }
+                self.relays.tell(&format!("{verb} {}", join(&chosen))).await;
+            }
+            Step::Loop(set, every, length) => {
+                let chosen = self.choose(n, set);
+                let (every, length) = (every.as_millis(), length.as_millis());
+                self.relays.tell(&format!("loop {every} {length} {}", join(&chosen))).await;
+            }
+            Step::List(verb) => {
+                self.book.enter(Seen::Act { verb: format!("list {verb}"), r: None });
+                let (lab, plan) = (self.lab.clone(), self.plan.clone());
+                process(&mut self.list, verb, &lab, "list", &plan).await?;
+            }
+            Step::ListFresh(fill) => {
+                let fill_ms = Some(fill.as_millis() as u64);
+                let plan = Plan { fill_ms, ..self.plan.clone() };
+                let lab = self.lab.clone();
+                process(&mut self.list, "down", &lab, "list", &plan).await?;
+                process(&mut self.list, "up", &lab, "list", &plan).await?;
+            }
+            Step::ListTold(line) => {
+                if let Some(list) = &mut self.list {
+                    list.tell(line).await;
+                }
+            }
+            Step::Cards(part, verb) => {
+                let plan = Plan { part: (*part, CARD_PARTS), ..self.plan.clone() };
+                let lab = self.lab.clone();
+                let place = self.cards.get_mut(*part);
+                let place =
+                    place.ok_or_else(|| format!("card servers run in parts 0 to {}", CARD_PARTS - 1))?;
+                process(place, verb, &lab, "cards", &plan).await?;
+            }
+            Step::CardTold(line) => {
+                let card = line.split(' ').nth(1).and_then(|s| s.parse::<usize>().ok()).unwrap_or(0);
+                if let Some(Some(part)) = self.cards.get_mut(card % CARD_PARTS) {
+                    part.tell(line).await;
+                }
+            }
+            Step::Links(line) => {
+                if let Some(links) = &mut self.links {
+                    links.tell(line).await;
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Does something to a part's process.
+async fn process(
+    part: &mut Option<Part>, verb: &str, lab: &PathBuf, kind: &str, plan: &Plan,
+) -> Result<(), String> {
+    match verb {
+        "down" => {
+            if let Some(mut part) = part.take() {
+                let _ = part.child.kill().await;
+            }
+        }
+        "up" if part.is_none() => *part = Some(Part::start(lab, kind, plan).await?),
+        "stop" => part.iter().for_each(|part| part.signal(Signal::STOP)),
+        "cont" => part.iter().for_each(|part| part.signal(Signal::CONT)),
+        _ => {}
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/lab/src/fleet/script.rs
@@ -0,0 +1,185 @@
+//! The script of a day: at which time, which fault, on whom. A directive a line, as in the operators' files.
+//!
+//! ```text
+//! length 40s
+//! at 0s start relays * within 400ms   # all relays; also 0-99, 7, 30% (drawn), dead (those that do not run)
+//! at 5s kill relays 30%
+//! at 5s stop relays 0-9               # cont, term
+//! at 6s loop relays 10% 1s 10s        # killed and started each second, for ten
+//! at 0s list down                     # up, stop, cont, fresh 10s (starts empty, fills over that), cost 400ms; mute on|off: says nothing;
+//!                                     # patient on|off: works on calls however long they waited
+//! at 3s list state 4 leaving          # active, left: what the list says of a card server
+//! at 3s card 4 drain                  # undrain
+//! at 3s cards 1 down                  # that process of card servers: up, stop, cont
+//! at 2s link list/0-99 hole           # cards/GROUP/CARD, front/RELAY; the faults are in `links`
+//! ```
+
+use std::time::Duration;
+
+use honeyknot_conf::{Directive, parse, units};
+
+use super::link_kind;
+use super::links::Fault;
+
+/// The longest day.
+pub const LONGEST: Duration = Duration::from_secs(600);
+
+/// Which relays.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Set {
+    /// All.
+    All,
+    /// These numbers.
+    Among(usize, usize),
+    /// This part of all, drawn from the day's seed.
+    Part(f64),
+    /// Those that do not run.
+    Dead,
+}
+
+/// What is done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Step {
+    /// Start relays, spread evenly over a time.
+    Start(Set, Duration),
+    /// `kill`, `stop`, `cont` or `term` relays.
+    Signal(&'static str, Set),
+    /// Kill and start relays again and again: how often, for how long.
+    Loop(Set, Duration, Duration),
+    /// The list service's process: `down`, `up`, `stop` or `cont`.
+    List(&'static str),
+    /// It starts again with nothing and fills its list over this.
+    ListFresh(Duration),
+    /// A line that steers the list service.
+    ListTold(String),
+    /// A process of card servers: `down`, `up`, `stop` or `cont`.
+    Cards(usize, &'static str),
+    /// A line that steers the card servers.
+    CardTold(String),
+    /// A line that steers the links.
+    Links(String),
+}
+
+/// A day's script.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Script {
+    /// How long the day is.
+    pub length: Duration,
+    /// What is done when, in order.
+    pub steps: Vec<(Duration, Step)>,
+    /// The kinds of links that it steers.
+    pub links: Vec<String>,
+}
+
+fn span(text: &str) -> Result<Duration, String> {
+    units::duration(Duration::ZERO..=LONGEST)(text).map_err(|e| e.to_string())
+}
+
+fn set(text: &str) -> Result<Set, String> {
+    let number = |text: &str| text.parse::<usize>().ok();
+    let found = match text {
+        "*" => Some(Set::All),
+        "dead" => Some(Set::Dead),
+        _ if text.ends_with('%') => {
+            let part = text.trim_end_matches('%').parse::<f64>().ok();
+            part.filter(|part| (0.0..=100.0).contains(part)).map(|part| Set::Part(part / 100.0))
+        }
+        _ => {
+            let (from, to) = text.split_once('-').unwrap_or((text, text));
+            let both = number(from).zip(number(to)).filter(|(from, to)| from <= to);
+            both.map(|(from, to)| Set::Among(from, to))
+        }
+    };
+    found.ok_or_else(|| {
+        format!("{text}: relays are `*`, `dead`, a number, a stretch such as 0-9, or a part such as 30%")
+    })
+}
+
+fn one_of(text: &str, known: &[&'static str]) -> Result<&'static str, String> {
+    let found = known.iter().find(|k| **k == text).copied();
+    found.ok_or_else(|| format!("{text}: known are {}", known.join(", ")))
+}
+
+fn step(words: &[&str]) -> Result<Step, String> {
+    const PROCESS: [&str; 4] = ["down", "up", "stop", "cont"];
+    Ok(match words {
+        ["start", "relays", who] => Step::Start(set(who)?, Duration::ZERO),
+        ["start", "relays", who, "within", over] => Step::Start(set(who)?, span(over)?),
+        ["loop", "relays", who, every, length] => {
+            let every = span(every)?;
+            if every < Duration::from_millis(100) {
+                return Err("a loop's turn takes 100ms at the least".into());
+            }
+            Step::Loop(set(who)?, every, span(length)?)
+        }
+        [verb, "relays", who] => Step::Signal(one_of(verb, &["kill", "stop", "cont", "term"])?, set(who)?),
+        ["list", "fresh", fill] => Step::ListFresh(span(fill)?),
+        ["list", "cost", cost] => Step::ListTold(format!("cost {}", span(cost)?.as_millis())),
+        ["list", verb @ ("mute" | "patient"), how] => {
+            Step::ListTold(format!("{verb} {}", one_of(how, &["on", "off"])?))
+        }
+        ["list", "state", card, state] => {
+            let card: usize = card.parse().map_err(|_| format!("{card}: a card server's number"))?;
+            Step::ListTold(format!("state {card} {}", one_of(state, &["active", "leaving", "left"])?))
+        }
+        ["list", verb] => Step::List(one_of(verb, &PROCESS)?),
+        ["card", card, verb] => {
+            let card: usize = card.parse().map_err(|_| format!("{card}: a card server's number"))?;
+            Step::CardTold(format!("{} {card}", one_of(verb, &["drain", "undrain"])?))
+        }
+        ["cards", part, verb] => {
+            let part =
+                part.parse().map_err(|_| format!("{part}: the number of a process of card servers"))?;
+            Step::Cards(part, one_of(verb, &PROCESS)?)
+        }
+        ["link", pattern, fault @ ..] => {
+            link_kind(pattern)
+                .ok_or_else(|| format!("{pattern}: links are list/N, front/N, cards/GROUP/CARD"))?;
+            Fault::default().add(fault)?;
+            Step::Links(format!("{pattern} {}", fault.join(" ")))
+        }
+        _ => return Err(format!("{}: unknown; see the page on cold starts", words.join(" "))),
+    })
+}
+
+/// Reads a script; all faults are told, each with file and line.
+pub fn read(file: &str, text: &str) -> Result<Script, String> {
+    let tree = parse(file, text).map_err(|faults| faults.to_string())?;
+    let (mut steps, mut links, mut length, mut faults) = (Vec::new(), Vec::new(), None, Vec::new());
+    for directive in &tree {
+        let words: Vec<&str> = directive.words.iter().map(|w| w.text.as_str()).collect();
+        let mut fault = |what: String| faults.push(format!("{file}:{}: {what}", directive.name.line));
+        match (directive.name.text.as_str(), &words[..]) {
+            _ if directive.block.is_some() => fault("a day's script has no blocks".into()),
+            ("length", [text]) => match span(text) {
+                Ok(_) if length.is_some() => fault("`length` is told twice".into()),
+                Ok(told) => length = Some(told),
+                Err(why) => fault(why),
+            },
+            ("at", [at, words @ ..]) => match span(at).and_then(|at| Ok((at, step(words)?))) {
+                Ok(told) => {
+                    links.extend(link_of(directive));
+                    steps.push(told);
+                }
+                Err(why) => fault(why),
+            },
+            (name, _) => fault(format!("`{name}`: a line begins with `length SPAN` or `at SPAN`")),
+        }
+    }
+    if length.is_none() {
+        faults.push(format!("{file}: `length` is missing"));
+    }
+    if !faults.is_empty() {
+        return Err(faults.join("\n"));
+    }
+    steps.sort_by_key(|(at, _)| *at);
+    links.sort();
+    links.dedup();
+    Ok(Script { length: length.unwrap_or_default(), steps, links })
+}
+
+fn link_of(directive: &Directive) -> Option<String> {
+    let words = &directive.words;
+    let is_link = words.get(1).is_some_and(|w| w.text == "link");
+    words.get(2).filter(|_| is_link).and_then(|w| link_kind(&w.text)).map(str::to_owned)
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod books;
 pub mod day;
+pub mod fleet;
 pub mod model;
 pub mod scenario;
 pub mod simulated;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -7,6 +7,8 @@
 
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use honeyknot_lab::day::{Day, Report, SPILL_SLACK, play};
+use honeyknot_lab::fleet;
+use honeyknot_lab::fleet::starts::ColdStart;
 use honeyknot_lab::scenario::Scenario;
 use honeyknot_lab::simulated::{Simulation, simulate};
 use honeyknot_lab::world::{Size, World};
@@ -57,6 +59,65 @@
         #[command(flatten)]
         world: WorldArgs,
     },
+    /// Start a whole fleet of processes at once, with faults between them, and print what the far side counted.
+    ColdStart(FleetArgs),
+    /// Run a part of a fleet.
+    #[command(hide = true)]
+    Part {
+        /// Which.
+        #[arg(value_enum)]
+        kind: PartKind,
+    },
+}
+
+/// A part of a fleet; the laboratory starts these itself.
+#[derive(Clone, Copy, PartialEq, ValueEnum)]
+enum PartKind {
+    List,
+    Cards,
+    Clients,
+    Links,
+    Relays,
+}
+
+#[derive(Args)]
+struct FleetArgs {
+    /// What goes wrong while the relays start.
+    #[arg(long, value_enum, default_value = "healthy")]
+    scenario: ColdStart,
+    /// Relays in all.
+    #[arg(long, default_value_t = 40, value_parser = clap::value_parser!(u16).range(1..=1_600))]
+    relays: u16,
+    /// The number of relays that each is told; without it, the true one.
+    #[arg(long)]
+    told: Option<u32>,
+    /// Card servers in all.
+    #[arg(long, default_value_t = 40, value_parser = clap::value_parser!(u16).range(1..=200))]
+    cards: u16,
+    /// What a whole list costs the list service, in milliseconds.
+    #[arg(long, default_value_t = 20, value_parser = clap::value_parser!(u64).range(0..=10_000))]
+    call_ms: u64,
+    /// Clients of each relay.
+    #[arg(long, default_value_t = 4)]
+    clients: u16,
+    /// Card servers start with the day, cold.
+    #[arg(long)]
+    cold: bool,
+    /// Seeds the script's draws, the clients and the relays.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// A script of faults instead of the scenario's own.
+    #[arg(long, value_name = "SCRIPT")]
+    faults: Option<PathBuf>,
+    /// The relays' program; without it, the one beside this program.
+    #[arg(long, value_name = "FILE")]
+    program: Option<PathBuf>,
+    /// Keep books and logs in this folder, which must be new or empty.
+    #[arg(long, value_name = "FOLDER")]
+    logs: Option<PathBuf>,
+    /// Print one JSON object as the last line.
+    #[arg(long)]
+    json: bool,
 }
 
 #[derive(Args)]
@@ -218,9 +279,27 @@
     Ok(held)
 }
 
+async fn run_part(kind: PartKind) -> Result<(), String> {
+    match kind {
+        PartKind::List => fleet::part(fleet::list::start).await,
+        PartKind::Cards => fleet::part(fleet::cards::start).await,
+        PartKind::Clients => fleet::part(fleet::clients::start).await,
+        PartKind::Links => fleet::part(fleet::links::start).await,
+        PartKind::Relays => fleet::part(fleet::relays::start).await,
+    }
+}
+
 async fn run(command: Command) -> Result<bool, String> {
+    if let Command::Part { kind } = command {
+        // Before any folder is made: a part may be killed at any time.
+        run_part(kind).await?;
+        // Standard input still holds a thread of the runtime.
+        std::process::exit(0);
+    }
     let folder = tempfile::tempdir().map_err(|e| format!("no folder for files: {e}"))?;
     match command {
+        Command::Part { .. } => Ok(true),
+        Command::ColdStart(args) => cold_start(args, folder.path()).await,
         Command::Try { length, world } => {
             let mut day = day(&world, Scenario::Show, folder.path())?;
             day.length = length;
@@ -259,6 +338,63 @@
     }
 }
 
+/// Plays a cold start.
+async fn cold_start(args: FleetArgs, folder: &std::path::Path) -> Result<bool, String> {
+    let relays = usize::from(args.relays);
+    let folder = args.logs.clone().unwrap_or_else(|| folder.to_owned());
+    let told = |e: std::io::Error| format!("{}: {e}", folder.display());
+    std::fs::create_dir_all(&folder).map_err(told)?;
+    if std::fs::read_dir(&folder).map_err(told)?.next().is_some() {
+        return Err(format!(
+            "{}: not empty; books of another day would be read as this one's",
+            folder.display()
+        ));
+    }
+    let script = match &args.faults {
+        Some(file) => {
+            let text = std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?;
+            fleet::script::read(&file.display().to_string(), &text)?
+        }
+        None => args.scenario.script(relays, args.call_ms)?,
+    };
+    let plan = fleet::Plan {
+        net: fleet::run::free_net(args.seed)?,
+        seed: args.seed,
+        relays,
+        told: args.told.map_or(relays, |told| told as usize),
+        cards: usize::from(args.cards),
+        call_ms: args.call_ms,
+        clients: usize::from(args.clients),
+        held: args.scenario.held(),
+        cold_cards: args.cold,
+        links: Vec::new(),
+        folder,
+        program: args.program.map_or_else(honeyknot_lab::world::relays::program, Ok)?,
+        part: (0, 1),
+        fill_ms: None,
+    };
+    let lab = std::env::current_exe().map_err(|e| format!("this program's place is unknown: {e}"))?;
+    let day = fleet::run::play(&plan, &script, lab, interrupted()).await?;
+    let report =
+        fleet::report::report(&plan, args.scenario.name(), day.began, &day.lines, args.scenario.aims());
+    if report.starved {
+        eprintln!(
+            "a part ran {} ms late: the machine was the limit, and this day does not count",
+            report.lag_ms
+        );
+    }
+    if args.json {
+        println!("{}", serde_json::to_string(&report).map_err(|e| e.to_string())?);
+    } else {
+        println!("{}", serde_json::to_string_pretty(&report).map_err(|e| e.to_string())?);
+        match report.broken.is_empty() {
+            true => println!("all promises held"),
+            false => println!("BROKEN: {}", report.broken.join("; ")),
+        }
+    }
+    Ok(report.broken.is_empty() && !report.starved)
+}
+
 fn tell(report: &Report) {
     let (c, f) = (&report.clients, &report.fleet);
     println!(
--- a/crates/lab/src/world/relays.rs
+++ b/crates/lab/src/world/relays.rs
@@ -38,6 +38,23 @@
     })
 }
 
+/// The settings of a relay of this number, of a fleet of so many, as the platform tells them.
+pub fn settings(relays: usize, me: usize, site: &str, sites: &[String]) -> Value {
+    json!({
+        "family": "conn", "discovery": "on_request", "fleetSize": relays, "me": me,
+        "zone": site, "zones": sites, "weights": "nominal", "roundUs": 5000,
+        "telemetry": {"source": "pull"},
+        "familyInfo": {"groups": true, "messageAimUs": [150_000.0], "mode": "proxy",
+            "tellsLoad": true, "tellsDelay": true},
+        "services": [{"name": "study-session", "effect": "idempotent", "group": "all",
+            "aimUs": 300_000, "hardLimitUs": 1_200_000, "stream": true, "worth": 1.0}],
+        "permissions": {"probing": true, "maxAttempts": 6, "connectTimeoutUs": 250_000,
+            "retryAfter": true, "maxRetryAfterUs": 600_000, "idleCloseUs": 30_000_000, "mayCancel": true},
+        "rules": {"startCapacity": 0.32, "coldUs": COLD, "overloadFactor": 3.0, "fallUs": 2_000_000,
+            "graceToAnswerUs": 20_000, "stopSendingWithinUs": 500_000, "mustAskInUs": 10_000_000},
+        "tariffs": {"crossZone": 0.2, "moves": 0.008, "probe": 0.0032, "waste": 0.3}})
+}
+
 impl Starter {
     /// Relays of `program` that keep their files in `folder`.
     pub fn new(world: &Shared, program: PathBuf, folder: &Path, sites: Option<PathBuf>) -> Starter {
@@ -58,19 +75,8 @@
             "seed": format!("{:x}", world.seed() ^ (relay as u64) << 32 ^ u64::from(life)),
             "limits": {"cores": 0.5, "memory_mb": 64, "sockets": 4096},
             "known": self.known[relay],
-            "settings": {
-                "family": "conn", "discovery": "on_request", "fleetSize": world.size.relays, "me": relay,
-                "zone": site, "zones": world.size.sites, "weights": "nominal", "roundUs": 5000,
-                "telemetry": {"source": "pull"},
-                "familyInfo": {"groups": true, "messageAimUs": [150_000.0], "mode": "proxy",
-                    "tellsLoad": true, "tellsDelay": true},
-                "services": [{"name": "study-session", "effect": "idempotent", "group": "all",
-                    "aimUs": 300_000, "hardLimitUs": 1_200_000, "stream": true, "worth": 1.0}],
-                "permissions": {"probing": true, "maxAttempts": 6, "connectTimeoutUs": 250_000,
-                    "retryAfter": true, "maxRetryAfterUs": 600_000, "idleCloseUs": 30_000_000, "mayCancel": true},
-                "rules": {"startCapacity": 0.32, "coldUs": COLD, "overloadFactor": 3.0, "fallUs": 2_000_000,
-                    "graceToAnswerUs": 20_000, "stopSendingWithinUs": 500_000, "mustAskInUs": 10_000_000},
-                "tariffs": {"crossZone": 0.2, "moves": 0.008, "probe": 0.0032, "waste": 0.3}}})
+            "settings": settings(world.size.relays, relay, site, &world.size.sites),
+        })
     }
 
     /// Starts a relay and waits until it answers. Its log goes to a file in the folder.
