Fleets take their addresses under a lock; a reset link resets

Two harnesses on one machine could take the same addresses between looking and binding: a listener held for the fleet's life is the lock. A link's half that was dropped ended its way in order before the reset came (OwnedWriteHalf shuts down on drop): forgotten now, as the test of the links demanded.

--- a/crates/lab/src/fleet/links.rs
+++ b/crates/lab/src/fleet/links.rs
@@ -176,20 +176,24 @@
     let both = async {
         tokio::try_join!(there.carry(&mut near_in, &mut far_out), back.carry(&mut far_in, &mut near_out))
     };
-    let half = tokio::select! {
-        done = both => {
-            if done.is_err() {
-                let _ = near_out.as_ref().set_zero_linger();
-                let _ = far_out.as_ref().set_zero_linger();
+    let done = tokio::select! {
+        done = both => Some(done),
+        _ = faults.wait_for(|f| f.half) => None,
+    };
+    match done {
+        Some(Ok(_)) => {}
+        Some(Err(_)) => {
+            for out in [near_out, far_out] {
+                let _ = out.as_ref().set_zero_linger();
+                // Dropped as it is, it would end its way in order before the reset.
+                out.forget();
             }
-            return;
         }
-        half = faults.wait_for(|f| f.half) => half.is_ok(),
-    };
-    if half {
-        drop((far_in, far_out));
-        // The near side stays open and silent until the fault is over.
-        let _ = faults.wait_for(|f| !f.half).await;
+        None => {
+            drop((far_in, far_out));
+            // The near side stays open and silent until the fault is over.
+            let _ = faults.wait_for(|f| !f.half).await;
+        }
     }
 }
 
--- a/crates/lab/src/fleet/run.rs
+++ b/crates/lab/src/fleet/run.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::future::Future;
+use std::net::Ipv4Addr;
 use std::path::PathBuf;
 use std::process::Stdio;
 use std::time::Duration;
@@ -85,18 +86,27 @@
     up: BTreeSet<usize>,
 }
 
-/// Finds a second byte of addresses that nobody uses.
-pub fn free_net(seed: u64) -> Result<u8, String> {
-    let from = (u64::from(std::process::id()) ^ seed) as u8;
-    let nets = (0..200u8).map(|i| 20 + (from.wrapping_add(i)) % 200);
-    let mut free = nets.filter(|net| {
-        let at = [(127, *net, 10, 1, 8500), (127, *net, 20, 1, 6000), (127, *net, 0, 1, 5000)];
-        at.iter().all(|(a, b, c, d, port)| {
-            let ip = std::net::Ipv4Addr::new(*a, *b, *c, *d);
-            std::net::TcpListener::bind((ip, *port)).is_ok()
-        })
-    });
-    free.next().ok_or_else(|| "all addresses for fleets are in use".to_owned())
+/// A second byte of addresses that is this fleet's alone as long as this is held.
+pub struct Net {
+    /// The byte.
+    pub number: u8,
+    _lock: std::net::TcpListener,
+}
+
+impl Net {
+    /// Takes one that nobody uses.
+    pub fn take(seed: u64) -> Result<Net, String> {
+        let from = (u64::from(std::process::id()) ^ seed) as u8;
+        let free = |number: u8| {
+            let bind = |c, d, port| std::net::TcpListener::bind((Ipv4Addr::new(127, number, c, d), port));
+            let lock = bind(250, 1, 4999).ok()?;
+            // One whose harness was killed may still be on its way out.
+            let rest = [bind(10, 1, 8500), bind(20, 1, 6000), bind(0, 1, 5000)];
+            rest.iter().all(Result::is_ok).then_some(Net { number, _lock: lock })
+        };
+        let mut nets = (0..200u8).map(|i| (20 + (u16::from(from) + u16::from(i)) % 200) as u8);
+        nets.find_map(free).ok_or_else(|| "all addresses for fleets are in use".to_owned())
+    }
 }
 
 /// A day that was played: when it began and ended, and all books.
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -357,8 +357,9 @@
         }
         None => args.scenario.script(relays, args.call_ms)?,
     };
+    let net = fleet::run::Net::take(args.seed)?;
     let plan = fleet::Plan {
-        net: fleet::run::free_net(args.seed)?,
+        net: net.number,
         seed: args.seed,
         relays,
         told: args.told.map_or(relays, |told| told as usize),
--- a/crates/lab/tests/fleet.rs
+++ b/crates/lab/tests/fleet.rs
@@ -8,15 +8,15 @@
 
 use honeyknot_lab::fleet::book::{Asked, End, Line, Seen, Word};
 use honeyknot_lab::fleet::report::{Aims, Report, report};
-use honeyknot_lab::fleet::run::free_net;
+use honeyknot_lab::fleet::run::Net;
 use honeyknot_lab::fleet::starts::ColdStart;
 use honeyknot_lab::fleet::{Held, Link, Plan, script};
 
 const LAB: &str = env!("CARGO_BIN_EXE_honeyknot-lab");
 
-fn plan(folder: &Path, seed: u64) -> Plan {
+fn plan(folder: &Path, seed: u64, net: &Net) -> Plan {
     Plan {
-        net: free_net(seed).expect("free addresses"),
+        net: net.number,
         seed,
         relays: 2,
         told: 2,
@@ -61,11 +61,12 @@
 
 fn judged(more: Vec<Line>) -> Report {
     let folder = tempfile::tempdir().expect("a folder");
+    let net = Net::take(1).expect("free addresses");
     let mut lines = good();
     lines.extend(more);
     lines.sort_by_key(|line| line.t);
     let aims = Aims { down_s: 0.0, slack_s: Some(2.0), fills: false };
-    report(&plan(folder.path(), 1), "planted", S, &lines, aims)
+    report(&plan(folder.path(), 1, &net), "planted", S, &lines, aims)
 }
 
 #[test]
@@ -170,21 +171,22 @@
 #[test]
 fn links_fail_as_they_are_told_and_recover() {
     let folder = tempfile::tempdir().expect("a folder");
-    let plan = plan(folder.path(), 7);
+    let net = Net::take(7).expect("free addresses");
+    let plan = plan(folder.path(), 7, &net);
     let mut links = Part::start("links", &plan);
     let _cards = Part::start("cards", &plan);
     let (at, _) = plan.link(Link::Cards(0, 1));
     let dial = || TcpStream::connect(at);
     // What was told has arrived once a link shows it; all waits are bounded.
-    let shows = |what: &dyn Fn() -> bool| {
+    let shows = |fault: &str, what: &dyn Fn() -> bool| {
         let until = Instant::now() + Duration::from_secs(10);
         while !what() {
-            assert!(Instant::now() < until, "the fault does not show");
+            assert!(Instant::now() < until, "`{fault}` does not show");
             std::thread::sleep(Duration::from_millis(20));
         }
     };
     let pong = || dial().is_ok_and(|mut s| ask(&mut s, 2_000).is_ok_and(|line| line == "PONG\r\n"));
-    shows(&pong);
+    shows("clear", &pong);
     let silent = |wait| {
         dial().is_ok_and(|mut s| {
             matches!(ask(&mut s, wait), Err(std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut))
@@ -192,30 +194,30 @@
     };
     for fault in ["hole", "cut there", "cut back", "loss 100% 5000ms", "delay 5000ms 5000ms", "rate 1B/s"] {
         links.tell(&format!("cards/0/1 {fault}"));
-        shows(&|| silent(250));
+        shows(fault, &|| silent(250));
         // Others go on.
         let (other, _) = plan.link(Link::Cards(0, 2));
         assert!(ask(&mut TcpStream::connect(other).expect("a link"), 2_000).is_ok(), "{fault}");
         links.tell("cards/*/* clear");
-        shows(&pong);
+        shows("clear", &pong);
     }
     links.tell("cards/0/1 refuse");
-    shows(&|| dial().is_err_and(|e| e.kind() == std::io::ErrorKind::ConnectionRefused));
+    shows("refuse", &|| dial().is_err_and(|e| e.kind() == std::io::ErrorKind::ConnectionRefused));
     links.tell("cards/0/1 clear");
-    shows(&pong);
+    shows("clear", &pong);
     links.tell("cards/0/1 reset 3B");
-    shows(&|| {
+    shows("reset", &|| {
         dial().is_ok_and(|mut s| ask(&mut s, 2_000).is_err_and(|e| e == std::io::ErrorKind::ConnectionReset))
     });
     links.tell("cards/0/1 clear");
     let mut standing = dial().expect("a link");
-    shows(&pong);
+    shows("clear", &pong);
     assert!(ask(&mut standing, 2_000).is_ok());
     links.tell("cards/0/1 half");
-    shows(&|| silent(250));
+    shows("half", &|| silent(250));
     links.tell("cards/0/1 clear");
     links.tell("cards/0/1 drip 1B");
-    shows(&pong);
+    shows("clear", &pong);
 }
 
 /// The process ids below a process, its own left out.
@@ -281,7 +283,8 @@
 #[test]
 fn addresses_of_fleets_do_not_meet() {
     let folder = tempfile::tempdir().expect("a folder");
-    let big = Plan { relays: 400, cards: 40, ..plan(folder.path(), 3) };
+    let net = Net::take(3).expect("free addresses");
+    let big = Plan { relays: 400, cards: 40, ..plan(folder.path(), 3, &net) };
     let big = Plan { links: ["list", "cards", "front"].map(str::to_owned).to_vec(), ..big };
     let mut all: Vec<_> = big.all_links().into_iter().map(|link| big.link(link).0).collect();
     all.extend((0..400).flat_map(|n| [big.relay(n), big.list(n)]));
