The wheel rests until something comes due, not 500 times a second

Ticks are as coarse and timers as exact as before.

Test: 40,000 turns with entries due at once, long ago and after many turns, with pauses of 8 s: no turn is wanted that is due already, and no rest goes beyond what is due.

--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -28,7 +28,6 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
-use std::time::Duration;
 
 use honeyknot_gauges::{Book, Family};
 use honeyknot_sites::{Sites, Verdict};
@@ -738,10 +737,8 @@
 
 async fn turn_wheel(relay: Shared) {
     let timers = relay.borrow().timers.clone();
-    let mut ticks = tokio::time::interval(Duration::from_micros(wheel::TICK));
-    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
     loop {
-        let lag = ticks.tick().await.elapsed().as_micros() as Micros;
+        let lag = timers.rest().await;
         relay.borrow_mut().meter(|book| book.record(Family::LoopLag, lag));
         for alarm in timers.due() {
             match alarm {
--- a/src/relay/wheel.rs
+++ b/src/relay/wheel.rs
@@ -1,10 +1,13 @@
 //! Timers as coarse ticks on a wheel, and the naps that sessions take on it.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
+use std::time::Duration;
+
+use tokio::sync::Notify;
 
 use super::clock::Clock;
 use crate::interface::{Micros, TimerToken};
@@ -14,6 +17,9 @@
 /// Slots of a turn, about two seconds: most timers are shorter, the others stay for some turns.
 const SLOTS: u64 = 1024;
 
+/// The wheel is turned after so many ticks at the latest, whatever it holds. What comes due later need not be looked for.
+const LONGEST_REST: u64 = 128;
+
 /// Where an entry sits, to take it back.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Place {
@@ -49,6 +55,13 @@
         Some(slot.swap_remove(at).1)
     }
 
+    /// The tick at which it must be turned next: that of the first entry that comes due, or some ticks on.
+    pub fn next_turn(&self) -> u64 {
+        let soon = self.turned_to + 1..self.turned_to + LONGEST_REST;
+        let holds = |tick: &u64| self.slots[(tick % SLOTS) as usize].iter().any(|(p, _)| p.tick <= *tick);
+        soon.into_iter().find(holds).unwrap_or(self.turned_to + LONGEST_REST)
+    }
+
     /// Turns to this time and returns what has come due, in the order of time and of putting down.
     pub fn turn(&mut self, now: Micros) -> Vec<T> {
         let target = now / TICK;
@@ -79,17 +92,50 @@
     /// The relay's clock.
     pub clock: Clock,
     wheel: RefCell<Wheel<Alarm>>,
+    /// The tick until which nobody turns the wheel.
+    rests_until: Cell<u64>,
+    /// Told when something comes due before that.
+    sooner: Notify,
 }
 
 impl Timers {
     /// A wheel that stands at the clock's time.
     pub fn new(clock: Clock) -> Rc<Timers> {
-        Rc::new(Timers { clock, wheel: RefCell::new(Wheel::new(clock.now())) })
+        let wheel = RefCell::new(Wheel::new(clock.now()));
+        Rc::new(Timers { clock, wheel, rests_until: Cell::new(0), sooner: Notify::new() })
     }
 
     /// Sets a timer of the decisions.
     pub fn decision(&self, delay: Micros, token: TimerToken) {
-        self.wheel.borrow_mut().put(self.clock.now().saturating_add(delay), Alarm::Decision(token));
+        self.put(self.clock.now().saturating_add(delay), Alarm::Decision(token));
+    }
+
+    fn put(&self, due: Micros, alarm: Alarm) -> Place {
+        let place = self.wheel.borrow_mut().put(due, alarm);
+        if place.tick < self.rests_until.get() {
+            self.sooner.notify_one();
+        }
+        place
+    }
+
+    /// Rests until something comes due. A relay that does nothing wakes some times a second and not at every tick:
+    /// hundreds of them share a machine.
+    /// How late it is then comes back.
+    pub async fn rest(&self) -> Micros {
+        loop {
+            let next = self.wheel.borrow().next_turn();
+            let now = self.clock.now();
+            let due = next * TICK;
+            if now >= due {
+                self.rests_until.set(0);
+                return now - due;
+            }
+            self.rests_until.set(next);
+            tokio::select! {
+                () = tokio::time::sleep(Duration::from_micros(due - now)) => {}
+                () = self.sooner.notified() => {}
+            }
+        }
     }
 
     /// What has come due by now.
@@ -132,7 +178,7 @@
             return Poll::Ready(());
         }
         let alarm = Alarm::Wake(context.waker().clone());
-        let place = self.timers.wheel.borrow_mut().put(self.due, alarm);
+        let place = self.timers.put(self.due, alarm);
         self.place = Some(place);
         Poll::Pending
     }
--- a/tests/wheel.rs
+++ b/tests/wheel.rs
@@ -41,6 +41,35 @@
     }
 }
 
+/// Guards against a turn that finds nothing due and is wanted again at once, for ever: tens of thousands of restarts' worth of
+/// timers, with pauses as of a process that was stopped.
+#[test]
+fn every_turn_moves_on_and_nothing_comes_late_by_a_rest() {
+    let mut rng = Pcg64Mcg::seed_from_u64(11);
+    for _ in 0..400 {
+        let mut now = rng.random_range(1..4_000_000_000);
+        let (mut wheel, mut waiting) = (Wheel::new(now), BTreeMap::new());
+        for serial in 0..100u64 {
+            for _ in 0..rng.random_range(0..3) {
+                // Some are due at once, some long ago, some after many turns.
+                let due = (now + rng.random_range(0..3_000_000)).saturating_sub(rng.random_range(0..500_000));
+                let tick = due.div_ceil(TICK).max(now / TICK + 1);
+                *waiting.entry(tick).or_insert(0) += 1;
+                wheel.put(due, serial);
+            }
+            let next = wheel.next_turn();
+            assert!(next > now / TICK, "a turn that is due already");
+            assert!(
+                waiting.first_key_value().is_none_or(|(tick, _)| next <= *tick),
+                "a rest beyond what is due"
+            );
+            now = next * TICK + if rng.random_bool(0.02) { 8_000_000 } else { rng.random_range(0..TICK) };
+            let due: usize = waiting.extract_if(..=now / TICK, |_, _| true).map(|(_, count)| count).sum();
+            assert_eq!(wheel.turn(now).len(), due);
+        }
+    }
+}
+
 #[test]
 fn a_restart_moves_everybody_in_time_and_not_at_once() {
     let (mut standing, mut left, mut most) = (400, 800_000, 0);
