Coming to the list service: a pure room that spares it when hundreds of relays start

At fault: ASK_SPREAD of 2 s whatever the number of relays, ASK_AGAIN of 0.25 to 6 s, a watch of 5.000 s for everybody.

crates/listing decides when to call, for what, how long to wait and what to believe (docs/design/cold-start.md); src/relay/roll.rs carries out. Windows follow from the relays told and end within the rule on asking; backoff tells refused, busy, broken, silent apart and takes Retry-After; watches are drawn anew each time; an older list adds and drains, but takes nothing away for 12 s. Figures: roll_calls by outcome, and 'list' in stats.

--- a/crates/gauges/src/names.rs
+++ b/crates/gauges/src/names.rs
@@ -69,6 +69,9 @@
         ["ok", "error", "full", "timeout", "connect_failed", "reset", "cancelled", "moot"], "Probes by outcome";
     Bytes = "bytes", Total, "bytes", "way", ["to_client", "to_server"], "Bytes of sessions that were passed on";
     RollFailures = "roll_failures", Total, "calls", "", [], "Calls to discovery that brought nothing";
+    RollCalls = "roll_calls", Total, "calls", "outcome",
+        ["news", "quiet", "refused", "broken", "busy", "silent", "senseless"],
+        "Calls to discovery by how they ended; `quiet` when there was nothing new";
     Dropped = "dropped_points", Total, "points", "", [], "Points that a sink never got";
     Placed = "placed", Total, "attempts", "site", [], "Attempts by the card server's site";
     Succeeded = "succeeded", Total, "connections", "class", [], "Connections that were brought up";
--- a/crates/lab/src/fleet/book.rs
+++ b/crates/lab/src/fleet/book.rs
@@ -38,6 +38,8 @@
         v: u64,
         /// Calls that were waiting when it came.
         queue: usize,
+        /// It is the call's first turn in the queue; a watch has one more at its end.
+        first: bool,
     },
     /// The list service has a new version, in which a card server is in this state.
     Version {
--- a/crates/lab/src/fleet/cards.rs
+++ b/crates/lab/src/fleet/cards.rs
@@ -14,8 +14,10 @@
 use super::book::{Book, Seen};
 use crate::model::{CardModel, Held, Make, Opened};
 
-/// Usual sessions that fill a card server.
-pub const CAPACITY: f64 = 30.0;
+/// Usual sessions that fill a card server at the least; more where the clients are many.
+const CAPACITY: f64 = 30.0;
+/// Load of the whole fleet with all clients served, decks left out.
+const LOAD: f64 = 0.4;
 /// What a card server starts with, and how long it takes to have all.
 const COLD_FROM: f64 = 0.32;
 /// See [`COLD_FROM`].
@@ -44,10 +46,12 @@
     let book = Book::open(&plan.folder, &format!("cards{part}"))?;
     book.watch_lag();
     let mut cards = BTreeMap::new();
+    let sessions = (plan.relays * plan.clients) as f64;
+    let capacity = (sessions / plan.cards as f64 / LOAD).max(CAPACITY);
     for s in (0..plan.cards).filter(|s| s % parts == part) {
         let make = Make {
             weight: 1.0,
-            capacity: CAPACITY,
+            capacity,
             cold_from: COLD_FROM,
             cold: COLD,
             deck_cost: 3.0,
--- /dev/null
+++ b/crates/listing/src/lib.rs
@@ -0,0 +1,321 @@
+#![forbid(unsafe_code)]
+//! Coming to the list service: when to call, for what, when not, and which lists are believed.
+//!
+//! It decides the calls of one relay, one at a time, so that hundreds of relays which share nothing do not drown the one
+//! service together. It never opens a socket, reads a clock or chooses a card server. Times go in with what happened
+//! ([`Caller::heard`], [`Caller::failed`]); the next call and its patience come out ([`Caller::due`], [`Caller::call`]).
+//! Every random draw comes from the relay's seed.
+//!
+//! What it costs: one relay holds one call at a time and a line of memory a listed card server. All relays together offer the
+//! service at a start `1 / PACE` calls a second, whatever their number, as long as the rule's time allows a window that
+//! long ([`Told::must_ask_in`]); in trouble, no more than that; in quiet, `relays / wait` cheap calls.
+
+mod belief;
+
+use honeyknot_decisions::interface::Micros;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use belief::Belief;
+pub use belief::Roll;
+
+/// What the service is taken to need for a whole list until its answers tell more: windows are this long for each relay
+/// told. Too little, and the first second of a start fails calls; too much, and a small list comes late for nothing.
+pub const PACE: Micros = 20_000;
+/// Part of that for first calls of relays without a list, in hundredths: they have nothing to serve from, and the service
+/// bears a queue.
+const BARE_PART: Micros = 80;
+/// ... and of relays with an old list: changes cost the service less.
+const HELD_PART: Micros = 60;
+/// Where no number of relays is told.
+const UNTOLD: u32 = 100;
+/// The longest window of first calls, whatever the number told: one that is ten times too large must not idle a fleet.
+const FIRST_MOST: Micros = 8_000_000;
+/// The shortest one.
+const FIRST_LEAST: Micros = 50_000;
+/// The least mean wait after a failed call, doubled with each further one up to 8 times.
+const AGAIN: Micros = 500_000;
+/// The longest mean wait after a failed call, whatever the settings allow.
+const AGAIN_MOST: Micros = 24_000_000;
+/// Signs of overload in a row that lengthen the wait, each doubling it.
+const DOUBLINGS: u32 = 3;
+/// A watch waits about this long at the service. Short enough that one which went silent is noticed within the time in
+/// which the list must be asked for, long enough that watches cost it next to nothing.
+pub const WATCH: Micros = 5_000_000;
+/// Long watches of large fleets: this long for each relay ...
+const WATCH_PACE: Micros = 20_000;
+/// ... but no longer than this.
+const WATCH_MOST: Micros = 20_000_000;
+/// How long an answer may take beyond a watch's wait: the service works through its calls in turn.
+const ANSWER: Micros = 3_000_000;
+/// How long the whole list may take. Till then nothing counts as told, and a slow answer is still worth having.
+const WHOLE_ANSWER: Micros = 6_000_000;
+/// Pause after an answer: well within the 200 ms in which a watch goes on.
+const PAUSE: Micros = 20_000;
+/// Relays that got news together come back within this of each other, still within those 200 ms.
+const PAUSE_SPREAD: Micros = 130_000;
+/// An answer that is late by this makes its relay stay away for as long as it was late.
+const LATE: Micros = 400_000;
+/// First mean pause after a failed call to another service; it doubles up to 8 times. That news counts as told 4 s after the
+/// signal, so the usual pauses are not waited for.
+const RENEW_AGAIN: Micros = 200_000;
+/// Relays that turn to another service together come within this for each relay told ...
+const RENEW_PACE: Micros = 4_000;
+/// ... and all within this, as the rule gives 4 s.
+const RENEW_SPREAD: Micros = 1_200_000;
+/// The longest time to come back that a service may ask for.
+const RETRY_AFTER_MOST: Micros = 30_000_000;
+
+/// What a relay knows of the fleet and the rules when it starts.
+#[derive(Clone, Copy, Debug)]
+pub struct Told {
+    /// Relays in all, this one among them; 0 is not told.
+    pub relays: u32,
+    /// Who has not asked for this long counts as told of everything; four times this after a failed call. 0 is no such rule.
+    pub must_ask_in: Micros,
+    /// Seeds all draws.
+    pub seed: u64,
+}
+
+/// A call to the service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// The whole list.
+    Whole,
+    /// What is newer than a version, or nothing after so long.
+    Changes {
+        /// The version held.
+        since: u64,
+        /// How long the service may wait for news, in microseconds.
+        wait: Micros,
+    },
+}
+
+impl Call {
+    /// How long its answer is waited for at first.
+    fn patience(self) -> Micros {
+        match self {
+            Call::Whole => WHOLE_ANSWER,
+            Call::Changes { wait, .. } => wait + ANSWER,
+        }
+    }
+}
+
+/// How a call failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Trouble {
+    /// Nobody listens: the service is down, and a call costs it nothing.
+    Refused,
+    /// The connection broke.
+    Broken,
+    /// Turned away, perhaps with a time to come back.
+    Busy(Option<Micros>),
+    /// No connection, or no answer, in time.
+    Silent,
+    /// An answer that makes no sense.
+    Senseless,
+}
+
+/// What a relay is doing about its list, for those who look at it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    /// It has not called yet.
+    Starting,
+    /// Its last call was answered.
+    Following,
+    /// It holds an answer that it only half believes.
+    Doubting,
+    /// Its last call failed.
+    Failing,
+}
+
+impl State {
+    /// Its word.
+    pub fn word(self) -> &'static str {
+        match self {
+            State::Starting => "starting",
+            State::Following => "following",
+            State::Doubting => "doubting",
+            State::Failing => "failing",
+        }
+    }
+}
+
+/// The caller of one relay.
+pub struct Caller {
+    told: Told,
+    rng: Pcg64Mcg,
+    belief: Belief,
+    /// When the next call is due; none while one is out.
+    due: Option<Micros>,
+    /// The call that is out, and since when.
+    out: Option<(Call, Micros)>,
+    /// The whole list is wanted, whatever is held.
+    whole: bool,
+    /// Another service has not answered yet.
+    renewing: bool,
+    failures: u32,
+    overloads: u32,
+    /// Answers in a row that came at once and told nothing.
+    hasty: u32,
+    answered: bool,
+}
+
+impl Caller {
+    /// The caller of a relay that starts now with this list, which may be none.
+    pub fn new(told: Told, held: &Roll, now: Micros) -> Caller {
+        let mut rng = Pcg64Mcg::seed_from_u64(told.seed);
+        let bare = held.entries.is_empty();
+        let mut window = many(told.relays) * PACE / 100 * if bare { BARE_PART } else { HELD_PART };
+        if !bare && told.must_ask_in > 0 {
+            // The rule goes before sparing the service: who holds a list must have asked in time, with some to spare.
+            window = window.min(told.must_ask_in / 10 * 6);
+        }
+        // As few as two may come at once.
+        let window = if told.relays == 1 { 0 } else { window.clamp(FIRST_LEAST, FIRST_MOST) };
+        let due = now + rng.random_range(0..=window);
+        Caller {
+            told,
+            rng,
+            belief: Belief::new(held),
+            due: Some(due),
+            out: None,
+            whole: false,
+            renewing: false,
+            failures: 0,
+            overloads: 0,
+            hasty: 0,
+            answered: false,
+        }
+    }
+
+    /// When the next call is due; none while one is out.
+    pub fn due(&self) -> Option<Micros> {
+        self.due
+    }
+
+    /// The version that changes are asked from.
+    pub fn version(&self) -> u64 {
+        self.belief.version()
+    }
+
+    /// What it is doing.
+    pub fn state(&self) -> State {
+        match (self.failures, self.belief.doubts(), self.answered) {
+            (1.., ..) => State::Failing,
+            (_, true, _) => State::Doubting,
+            (_, _, true) => State::Following,
+            _ => State::Starting,
+        }
+    }
+
+    /// The decisions want the whole list, once.
+    pub fn want_whole(&mut self) {
+        self.whole = true;
+    }
+
+    /// From now on the list comes from another service, which tells its own: the whole of it, soon.
+    pub fn renew(&mut self, now: Micros) {
+        (self.renewing, self.out) = (true, None);
+        (self.failures, self.overloads, self.hasty) = (0, 0, 0);
+        self.belief.renew();
+        let spread = match self.told.relays {
+            0 | 1 => 0,
+            relays => (Micros::from(relays) * RENEW_PACE).min(RENEW_SPREAD),
+        };
+        self.due = Some(now + self.rng.random_range(0..=spread));
+    }
+
+    /// Takes the call that is due, and how long its answer is waited for. It is out until [`heard`](Self::heard) or
+    /// [`failed`](Self::failed).
+    pub fn call(&mut self, now: Micros) -> (Call, Micros) {
+        let whole = std::mem::take(&mut self.whole) || self.renewing || self.belief.wants_whole(now);
+        let call = match whole {
+            true => Call::Whole,
+            false => Call::Changes { since: self.belief.version(), wait: self.watch_wait(now) },
+        };
+        (self.due, self.out) = (None, Some((call, now)));
+        (call, call.patience())
+    }
+
+    /// How long a watch waits. Guards against watches of hundreds of relays that stay in step after a common answer.
+    fn watch_wait(&mut self, now: Micros) -> Micros {
+        let mean = (many(self.told.relays) * WATCH_PACE).clamp(WATCH, WATCH_MOST);
+        let drawn = self.rng.random_range(mean / 4 * 3..=mean / 4 * 5);
+        let most = self.belief.check_at().map_or(drawn, |at| at.saturating_sub(now));
+        // Whole milliseconds, as the service counts them.
+        (drawn.min(most).max(100_000) / 1_000) * 1_000
+    }
+
+    /// The call that was out has brought an answer; what of it is believed comes back. A list that is not believed in whole
+    /// comes back as changes, so that what it does not name stays.
+    pub fn heard(&mut self, now: Micros, answer: Roll) -> Roll {
+        let Some((call, since)) = self.out.take() else { return answer };
+        let took = now.saturating_sub(since);
+        let news = !answer.entries.is_empty() || answer.version != self.belief.version();
+        (self.failures, self.renewing, self.answered) = (0, false, true);
+        let (late, hasty) = match call {
+            Call::Whole => (took, !news),
+            Call::Changes { wait, .. } => (took.saturating_sub(wait), !news && took < wait / 2),
+        };
+        self.hasty = if hasty { (self.hasty + 1).min(7) } else { 0 };
+        let crowd = many(self.told.relays) * 500;
+        let mut pause = PAUSE;
+        if self.told.relays > 1 && news {
+            pause += self.rng.random_range(0..=crowd.min(PAUSE_SPREAD));
+        }
+        if self.hasty > 0 {
+            pause = PAUSE << self.hasty;
+        }
+        if late > LATE {
+            // The service is behind: who was kept waiting stays away as long, before calls begin to fail.
+            self.overloads = (self.overloads + 1).min(DOUBLINGS);
+            let most = if self.told.must_ask_in > 0 { self.told.must_ask_in / 4 } else { ANSWER };
+            let away = late.min(most);
+            pause = pause.max(self.rng.random_range(away / 2..=away / 2 * 3));
+        } else {
+            self.overloads = self.overloads.saturating_sub(1);
+        }
+        self.due = Some(now + pause);
+        let spread = many(self.told.relays) * PACE;
+        let check = self.rng.random_range(0..=spread.min(FIRST_MOST));
+        self.belief.hear(now, answer, check)
+    }
+
+    /// The call that was out has failed.
+    pub fn failed(&mut self, now: Micros, trouble: Trouble) {
+        self.out = None;
+        self.failures = self.failures.saturating_add(1);
+        let doubled = (self.failures - 1).min(DOUBLINGS);
+        if self.renewing {
+            let mean = RENEW_AGAIN << doubled;
+            self.due = Some(now + self.rng.random_range(mean / 2..=mean / 2 * 3));
+            return;
+        }
+        // A service that is down costs nothing and may be back at any time; one that is behind gets more room each time.
+        let fleet = many(self.told.relays) * PACE / 5 * 6;
+        let (fleet, asked) = match trouble {
+            Trouble::Refused => (fleet, None),
+            Trouble::Busy(after) => {
+                self.overloads = (self.overloads + 1).min(DOUBLINGS);
+                (fleet << self.overloads.saturating_sub(1), after)
+            }
+            Trouble::Broken | Trouble::Senseless => (fleet << doubled.min(2), None),
+            // Its patience has kept it away already. What happened meanwhile counts as told: it asks again soon.
+            Trouble::Silent => (0, None),
+        };
+        let mut most = AGAIN_MOST;
+        if self.told.must_ask_in > 0 {
+            // After a failed call four times as long may pass; the draw goes up to half as much again.
+            most = most.min(self.told.must_ask_in * 2);
+        }
+        let mean = (AGAIN << doubled).max(if self.told.relays == 1 { 0 } else { fleet }).min(most);
+        let asked = asked.unwrap_or(0).min(RETRY_AFTER_MOST);
+        self.due = Some(now + asked + self.rng.random_range(mean / 2..=mean / 2 * 3));
+    }
+}
+
+/// The relays told, or a guess where none are.
+fn many(relays: u32) -> Micros {
+    Micros::from(if relays == 0 { UNTOLD } else { relays })
+}
--- a/src/relay/held.rs
+++ b/src/relay/held.rs
@@ -6,13 +6,30 @@
 
 use honeyknot_decisions::withheld::Unknown;
 use honeyknot_gauges::Family;
+use honeyknot_listing::Trouble;
 use tracing::{info, warn};
 
 use super::Relay;
-use super::roll::RollNews;
+use super::roll::{Failure, RollNews};
 use crate::interface::*;
 
+/// The tag's value of a failed call.
+fn trouble_word(trouble: Trouble) -> &'static str {
+    match trouble {
+        Trouble::Refused => "refused",
+        Trouble::Broken => "broken",
+        Trouble::Busy(_) => "busy",
+        Trouble::Silent => "silent",
+        Trouble::Senseless => "senseless",
+    }
+}
+
 impl Relay {
+    /// Whether the roll comes only on request.
+    pub fn roll_on_request(&self) -> bool {
+        self.settings.discovery == Discovery::OnRequest
+    }
+
     pub(super) fn take_known(&mut self, news: RollNews) {
         let update = ListUpdate::Cached(self.note_roll(news));
         self.site_news(&update);
@@ -26,6 +43,8 @@
         }
         self.roll_heard = self.timers.clock.now();
         let whole = news.whole;
+        let outcome = if news.entries.is_empty() && news.version == self.version { "quiet" } else { "news" };
+        self.meter(|book| book.count(Family::RollCalls, outcome));
         let entries = self.note_roll(news);
         let update = if whole { ListUpdate::Full(entries) } else { ListUpdate::Delta(entries) };
         self.site_news(&update);
@@ -95,11 +114,14 @@
     }
 
     /// A call to discovery failed.
-    pub fn roll_failed(&mut self, why: &str) {
+    pub fn roll_failed(&mut self, failure: &Failure) {
         if !std::mem::replace(&mut self.roll_trouble, true) {
-            warn!(target: "roll", why, "discovery does not answer");
+            warn!(target: "roll", why = failure.why, "discovery does not answer");
         }
-        self.meter(|book| book.add(Family::RollFailures, 0, 1));
+        self.meter(|book| {
+            book.add(Family::RollFailures, 0, 1);
+            book.count(Family::RollCalls, trouble_word(failure.trouble));
+        });
         self.feed(Event::Servers { version: self.version, update: ListUpdate::Failed });
     }
 
--- a/src/relay/meter.rs
+++ b/src/relay/meter.rs
@@ -230,6 +230,12 @@
             "outstanding": self.open_ids.borrow().len(),
             "discovered": self.withheld.listed(),
             "ejected": self.withheld.avoided(self.balancer.suspects()),
+            "list": {
+                "state": self.list_state.word(),
+                "version": self.version,
+                "answered": self.roll_answered(),
+                "heard_ms_ago": self.timers.clock.now().saturating_sub(self.roll_heard) / 1_000,
+            },
         })
         .to_string()
     }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -30,6 +30,7 @@
 use std::rc::{Rc, Weak};
 
 use honeyknot_gauges::{Book, Family};
+use honeyknot_listing::{Caller, State};
 use honeyknot_sites::{Sites, Verdict};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
@@ -169,6 +170,8 @@
     roll_heard: Micros,
     asks: UnboundedSender<Ask>,
     roll_trouble: bool,
+    /// What the relay is doing about its list.
+    list_state: State,
     events: VecDeque<Event>,
     descriptors: Rc<Cell<usize>>,
     most_descriptors: usize,
@@ -190,8 +193,8 @@
 }
 
 impl Relay {
-    /// A relay, and what it will ask of discovery.
-    pub fn new(config: Config) -> Result<(Shared, UnboundedReceiver<Ask>), String> {
+    /// A relay, its caller of discovery, and what the decisions will want of that.
+    pub fn new(config: Config) -> Result<(Shared, Caller, UnboundedReceiver<Ask>), String> {
         let timers = Timers::new(Clock::start());
         let born = timers.clock.now();
         let mut settings = config.settings;
@@ -200,6 +203,13 @@
         let balancer =
             Balancer::new(settings.clone(), config.seed, born).map_err(|e| format!("settings: {e}"))?;
         let (asks, asked) = unbounded_channel();
+        let known = config.known.unwrap_or(RollNews {
+            version: 0,
+            whole: true,
+            entries: Vec::new(),
+            addresses: Vec::new(),
+        });
+        let caller = roll::caller(&settings, config.seed, &known, born);
         let relay = Rc::new_cyclic(|me| {
             RefCell::new(Relay {
                 timers,
@@ -222,6 +232,7 @@
                 roll_heard: born,
                 asks,
                 roll_trouble: false,
+                list_state: State::Starting,
                 events: VecDeque::new(),
                 descriptors: Rc::default(),
                 most_descriptors: descriptors(config.sockets, config.admin.is_some()),
@@ -234,14 +245,8 @@
                 me: me.clone(),
             })
         });
-        let known = config.known.unwrap_or(RollNews {
-            version: 0,
-            whole: true,
-            entries: Vec::new(),
-            addresses: Vec::new(),
-        });
         relay.borrow_mut().take_known(known);
-        Ok((relay, asked))
+        Ok((relay, caller, asked))
     }
 
     // ---- Events ------------------------------------------------------------------------------------------
@@ -695,7 +700,7 @@
 ) -> Result<(), String> {
     let (name, listen, discovery) = (config.name.clone(), config.listen, config.discovery);
     let metrics = config.metrics.clone();
-    let (relay, asks) = Relay::new(config)?;
+    let (relay, caller, asks) = Relay::new(config)?;
     if listeners.from.is_some() {
         // What was told to the old process binds this one: the whole roll, now, and again until it comes.
         relay.borrow_mut().ask_discovery(Ask::Renew(discovery));
@@ -706,7 +711,7 @@
         }
         sinks::run(&relay, &plan, &name);
     }
-    tokio::task::spawn_local(roll::follow(relay.clone(), discovery, asks));
+    tokio::task::spawn_local(roll::follow(relay.clone(), discovery, caller, asks));
     tokio::task::spawn_local(turn_wheel(relay.clone()));
     tokio::task::spawn_local(tell_delays(relay.clone()));
     if let Some(admin) = listeners.admin {
--- a/src/relay/roll.rs
+++ b/src/relay/roll.rs
@@ -1,14 +1,16 @@
-//! The server roll: asks discovery, one call at a time, and hands on what it tells.
+//! The server roll: carries out the calls to discovery that [`Caller`] wants, one at a time, and hands on what it believes.
 
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 use bytes::{Buf, BytesMut};
+use honeyknot_listing::{Call, Caller, Roll, State, Told, Trouble};
 use serde_json::Value;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::UnboundedReceiver;
+use tracing::{info, warn};
 
 use super::Shared;
 use super::lines::address;
@@ -16,20 +18,9 @@
 use crate::interface::*;
 use crate::wire::Names;
 
-/// How long a watch waits at discovery. Short enough that a discovery that went silent is noticed within the
-/// time in which the list must be asked for, long enough that watches cost it next to nothing.
-const WATCH_WAIT_MS: u64 = 5_000;
-/// How long an answer may take beyond a watch's wait: discovery works through its calls in turn.
-const ANSWER_WAIT: Micros = 3_000_000;
 /// A connection that is not up after this counts as a failed call: one lost packet is sent again after a second.
 /// Guards against a reload that spends its whole time on an address where nothing answers.
 const CONNECT_WAIT: Micros = 1_200_000;
-/// First pause before the whole roll is asked for again after a reload; it doubles up to 8 times this. The news
-/// counts as told 4 s after the signal, so the decisions' own longer pauses are not waited for.
-const RENEW_AGAIN: Micros = 200_000;
-/// Pause after an answer. Well within the time in which a watch goes on; guards against a discovery that answers
-/// at once each time.
-const PAUSE: Micros = 20_000;
 /// The largest answer that is read.
 const LARGEST: usize = 4 << 20;
 
@@ -99,7 +90,30 @@
 }
 
 /// Why a call brought nothing.
-type Failure = String;
+#[derive(Clone, Debug, PartialEq)]
+pub struct Failure {
+    /// What kind of trouble it was.
+    pub trouble: Trouble,
+    /// In words.
+    pub why: String,
+}
+
+impl Failure {
+    fn new(trouble: Trouble, why: impl ToString) -> Failure {
+        Failure { trouble, why: why.to_string() }
+    }
+
+    fn io(e: io::Error) -> Failure {
+        let refused = e.kind() == io::ErrorKind::ConnectionRefused;
+        Failure::new(if refused { Trouble::Refused } else { Trouble::Broken }, e)
+    }
+}
+
+impl From<&str> for Failure {
+    fn from(why: &str) -> Failure {
+        Failure::new(Trouble::Senseless, why)
+    }
+}
 
 /// The connection to discovery, kept from call to call.
 struct Desk {
@@ -123,7 +137,9 @@
     /// One call, by the connection that stands or else a new one.
     async fn call(&mut self, path: &str, wait: Micros) -> Result<Vec<u8>, Failure> {
         let timers = self.timers.clone();
+        // Guards against taking an answer that is there for none, when the whole process stood still meanwhile.
         tokio::select! {
+            biased;
             answer = self.exchange(path) => {
                 if answer.is_err() {
                     self.line = None;
@@ -132,15 +148,16 @@
             }
             () = timers.nap(wait) => {
                 self.line = None;
-                Err("no answer in time".into())
+                Err(Failure::new(Trouble::Silent, "no answer in time"))
             }
         }
     }
 
     async fn connect(&self) -> Result<TcpStream, Failure> {
         tokio::select! {
-            line = TcpStream::connect(self.at) => line.map_err(|e| e.to_string()),
-            () = self.timers.nap(CONNECT_WAIT) => Err("no connection in time".into()),
+            biased;
+            line = TcpStream::connect(self.at) => line.map_err(Failure::io),
+            () = self.timers.nap(CONNECT_WAIT) => Err(Failure::new(Trouble::Silent, "no connection in time")),
         }
     }
 
@@ -151,21 +168,22 @@
             None => self.connect().await?,
         };
         let _ = line.set_nodelay(true);
-        line.write_all(ask.as_bytes()).await.map_err(|e| e.to_string())?;
+        line.write_all(ask.as_bytes()).await.map_err(Failure::io)?;
         let mut bytes = BytesMut::new();
         loop {
             if let Some(answer) = take_answer(&mut bytes)? {
                 if !answer.closes {
                     self.line = Some(line);
                 }
-                return if answer.status == 200 {
-                    Ok(answer.body)
-                } else {
-                    Err(format!("status {}", answer.status))
+                let why = format!("status {}", answer.status);
+                return match answer.status {
+                    200 => Ok(answer.body),
+                    429 | 503 => Err(Failure::new(Trouble::Busy(answer.retry_after), why)),
+                    _ => Err(Failure::new(Trouble::Senseless, why)),
                 };
             }
-            if line.read_buf(&mut bytes).await.map_err(|e| e.to_string())? == 0 {
-                return Err("the answer ends early".into());
+            if line.read_buf(&mut bytes).await.map_err(Failure::io)? == 0 {
+                return Err(Failure::new(Trouble::Broken, "the answer ends early"));
             }
         }
     }
@@ -184,6 +202,8 @@
     pub status: u16,
     /// Discovery will close the connection.
     pub closes: bool,
+    /// When to come again, where it says so in seconds.
+    pub retry_after: Option<Micros>,
     /// Its body.
     pub body: Vec<u8>,
 }
@@ -192,7 +212,9 @@
 pub fn take_answer(bytes: &mut BytesMut) -> Result<Option<HttpAnswer>, Failure> {
     let mut headers = [httparse::EMPTY_HEADER; 32];
     let mut head = httparse::Response::new(&mut headers);
-    let httparse::Status::Complete(start) = head.parse(bytes).map_err(|e| e.to_string())? else {
+    let httparse::Status::Complete(start) =
+        head.parse(bytes).map_err(|e| Failure::new(Trouble::Senseless, e))?
+    else {
         return if bytes.len() > LARGEST { Err("the answer is too long".into()) } else { Ok(None) };
     };
     let status = head.code.unwrap_or(0);
@@ -201,6 +223,8 @@
         header.and_then(|h| std::str::from_utf8(h.value).ok()).map(str::trim)
     };
     let closes = value("connection").is_some_and(|v| v.eq_ignore_ascii_case("close"));
+    let retry_after = value("retry-after").and_then(|v| v.parse::<u64>().ok());
+    let retry_after = retry_after.map(|seconds| seconds.saturating_mul(1_000_000));
     let chunked = value("transfer-encoding").is_some_and(|v| v.eq_ignore_ascii_case("chunked"));
     let (body, end) = if chunked {
         let Some(found) = chunks(&bytes[start..])? else { return Ok(None) };
@@ -212,7 +236,7 @@
         (body.to_vec(), start + length)
     };
     bytes.advance(end);
-    Ok(Some(HttpAnswer { status, closes, body }))
+    Ok(Some(HttpAnswer { status, closes, retry_after, body }))
 }
 
 /// A chunked body and its length on the wire.
@@ -233,117 +257,128 @@
     }
 }
 
-/// What is wanted of discovery now.
-#[derive(Default)]
+/// Takes wishes until discovery has a new address; none once nobody can wish any more.
+async fn renewed(wants: &mut Wants, asks: &mut UnboundedReceiver<Ask>) -> Option<SocketAddr> {
+    loop {
+        if let Some(at) = wants.note(asks.recv().await?) {
+            return Some(at);
+        }
+    }
+}
+
+/// What the decisions want of discovery.
 struct Wants {
     watch: bool,
     whole: bool,
-    /// The whole roll of a new discovery, and how often asking for it failed.
-    renewal: Option<u32>,
 }
 
 impl Wants {
-    fn nothing(&self) -> bool {
-        !self.watch && !self.whole && self.renewal.is_none()
-    }
-
     /// Takes a wish; a new address comes back.
     fn note(&mut self, ask: Ask) -> Option<SocketAddr> {
         match ask {
             Ask::Watch(on) => self.watch = on,
             Ask::Fetch => self.whole = true,
             Ask::Renew(at) => {
-                (self.watch, self.renewal) = (true, Some(0));
+                self.watch = true;
                 return Some(at);
             }
         }
         None
     }
+}
 
-    /// Takes wishes until discovery has a new address; none once nobody can wish any more.
-    async fn renewed(&mut self, asks: &mut UnboundedReceiver<Ask>) -> Option<SocketAddr> {
-        loop {
-            if let Some(at) = self.note(asks.recv().await?) {
-                return Some(at);
-            }
-        }
-    }
-
-    /// The next call's path and the longest wait for its answer.
-    fn next_call(&mut self, version: u64) -> (String, Micros) {
-        if std::mem::take(&mut self.whole) || self.renewal.is_some() {
-            return ("/registry/instances".to_owned(), ANSWER_WAIT);
-        }
-        let path = format!("/registry/instances?index={version}&wait={WATCH_WAIT_MS}");
-        (path, WATCH_WAIT_MS * 1_000 + ANSWER_WAIT)
-    }
-
-    /// The call failed; how long to stay away from discovery before the next.
-    fn failed(&mut self) -> Micros {
-        match &mut self.renewal {
-            Some(failures) => {
-                *failures += 1;
-                RENEW_AGAIN << (*failures - 1).min(3)
-            }
-            None => {
-                // The decisions ask again in their own time; guards against hammering a discovery in trouble.
-                self.watch = false;
-                0
-            }
+/// The path that makes a call.
+fn path(call: Call) -> String {
+    match call {
+        Call::Whole => "/registry/instances".to_owned(),
+        Call::Changes { since, wait } => {
+            format!("/registry/instances?index={since}&wait={}", wait / 1_000)
         }
     }
 }
 
-/// Serves the decisions' wishes until the relay ends. Calls never overlap.
+/// Makes the calls that [`Caller`] wants until the relay ends. Calls never overlap.
 ///
-/// A reload drops the call that is out and asks the new discovery for the whole roll. Guards against waiting at
-/// an address that answers no more while card servers drain unheard of; the roll held stays in use meanwhile.
-pub async fn follow(relay: Shared, discovery: SocketAddr, mut asks: UnboundedReceiver<Ask>) {
+/// When to call is not the decisions' choice on sockets: they say whether the roll is to be followed, which they want from the
+/// start where it comes only on request. A reload drops the call that is out and asks the new discovery for the
+/// whole roll. Guards against waiting at an address that answers no more while card servers drain unheard of; the roll held
+/// stays in use meanwhile.
+pub async fn follow(
+    relay: Shared, discovery: SocketAddr, mut caller: Caller, mut asks: UnboundedReceiver<Ask>,
+) {
     let timers = relay.borrow().timers.clone();
-    let (mut desk, mut wants) = (Desk::new(discovery, &timers), Wants::default());
+    let mut desk = Desk::new(discovery, &timers);
+    let mut wants = Wants { watch: relay.borrow().roll_on_request(), whole: false };
     loop {
-        if wants.nothing() {
-            match asks.recv().await {
-                Some(ask) => desk.go_to(wants.note(ask)),
-                None => return,
+        relay.borrow_mut().list_state = caller.state();
+        let due = caller.due().filter(|_| wants.watch || wants.whole);
+        tokio::select! {
+            biased;
+            ask = asks.recv() => {
+                let Some(ask) = ask else { return };
+                if let Some(at) = wants.note(ask) {
+                    desk.go_to(Some(at));
+                    caller.renew(timers.clock.now());
+                }
+                continue;
             }
-            continue;
+            () = timers.until(due.unwrap_or(0)), if due.is_some() => {}
+        }
+        if std::mem::take(&mut wants.whole) {
+            caller.want_whole();
         }
-        let (path, wait) = wants.next_call(relay.borrow().roll_version());
+        let (call, patience) = caller.call(timers.clock.now());
+        let path = path(call);
         let answer = tokio::select! {
             biased;
-            at = wants.renewed(&mut asks) => Err(at),
-            answer = ask_roll(&mut desk, &relay, &path, wait) => Ok(answer),
+            at = renewed(&mut wants, &mut asks) => Err(at),
+            answer = ask_roll(&mut desk, &relay, &path, patience) => Ok(answer),
         };
-        let pause = match answer {
+        match answer {
             Ok(Ok(news)) => {
-                wants.renewal = None;
+                let doubted = caller.state() == State::Doubting;
+                let news = believed(&mut caller, timers.clock.now(), news);
+                if !doubted && caller.state() == State::Doubting {
+                    warn!(target: "roll", version = news.version, "an older list: what it lacks stays for now");
+                } else if doubted && caller.state() == State::Following {
+                    info!(target: "roll", version = news.version, "the list is believed in whole again");
+                }
                 relay.borrow_mut().take_roll(news);
-                PAUSE
             }
             Ok(Err(failure)) => {
+                caller.failed(timers.clock.now(), failure.trouble);
                 relay.borrow_mut().roll_failed(&failure);
-                wants.failed()
             }
             Err(None) => return,
             Err(at) => {
                 desk.go_to(at);
-                continue;
+                caller.renew(timers.clock.now());
             }
-        };
-        tokio::select! {
-            biased;
-            at = wants.renewed(&mut asks) => match at {
-                None => return,
-                at => desk.go_to(at),
-            },
-            () = timers.nap(pause) => {}
         }
     }
 }
 
+/// What is believed of an answer.
+fn believed(caller: &mut Caller, now: Micros, news: RollNews) -> RollNews {
+    let answer = Roll { version: news.version, whole: news.whole, entries: news.entries };
+    let Roll { version, whole, entries } = caller.heard(now, answer);
+    let mut addresses = news.addresses;
+    addresses.retain(|(id, _)| entries.iter().any(|e| e.server == *id));
+    RollNews { version, whole, entries, addresses }
+}
+
+/// The caller of a relay that starts with this roll.
+pub fn caller(settings: &Settings, seed: u64, known: &RollNews, now: Micros) -> Caller {
+    let held = Roll { version: known.version, whole: true, entries: known.entries.clone() };
+    // A seed of its own: the decisions draw from the same one.
+    let seed = seed.rotate_left(32) ^ 0x115_7e4;
+    let told = Told { relays: settings.fleet_size, must_ask_in: settings.rules.must_ask_in, seed };
+    Caller::new(told, &held, now)
+}
+
 async fn ask_roll(desk: &mut Desk, relay: &Shared, path: &str, wait: Micros) -> Result<RollNews, Failure> {
     let body = desk.call(path, wait).await?;
-    let value: Value = serde_json::from_slice(&body).map_err(|e| format!("not JSON: {e}"))?;
-    read_roll(&value, &relay.borrow().names)
+    let senseless = |why: String| Failure::new(Trouble::Senseless, why);
+    let value: Value = serde_json::from_slice(&body).map_err(|e| senseless(format!("not JSON: {e}")))?;
+    read_roll(&value, &relay.borrow().names).map_err(senseless)
 }
