--- /dev/null
+++ b/crates/lab/tests/cold_start.rs
@@ -0,0 +1,98 @@
+//! Starts of twelve relays as processes, with faults between them and the list service. Verdicts are the far side's books.
+
+use std::path::PathBuf;
+
+use honeyknot_lab::fleet::book::{Line, Seen, Word};
+use honeyknot_lab::fleet::report::{Aims, Report, report};
+use honeyknot_lab::fleet::run::{Net, play};
+use honeyknot_lab::fleet::{Held, Plan, script};
+
+/// The relay's program, which is built beside the laboratory's.
+fn program() -> PathBuf {
+    let lab = PathBuf::from(env!("CARGO_BIN_EXE_honeyknot-lab"));
+    let program = lab.with_file_name("honeyknot");
+    assert!(program.is_file(), "build the whole workspace first: cargo build --workspace");
+    program
+}
+
+struct Day {
+    seed: u64,
+    text: &'static str,
+    aims: Aims,
+}
+
+/// Plays a day of twelve relays that are told to be `told`; a whole list takes 20 ms.
+fn day(day: &Day, told: usize) -> (Report, Vec<Line>) {
+    let folder = tempfile::tempdir().expect("a folder");
+    let net = Net::take(day.seed).expect("free addresses");
+    let plan = Plan {
+        net: net.number,
+        seed: day.seed,
+        relays: 12,
+        told,
+        cards: 8,
+        call_ms: 20,
+        clients: 8,
+        held: Held::Old,
+        cold_cards: false,
+        links: Vec::new(),
+        folder: folder.path().to_owned(),
+        program: program(),
+        part: (0, 1),
+        fill_ms: None,
+    };
+    let script = script::read("day", day.text).expect("a sound script");
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let lab = PathBuf::from(env!("CARGO_BIN_EXE_honeyknot-lab"));
+    let never = std::future::pending();
+    let played = tokio::task::LocalSet::new().block_on(&runtime, play(&plan, &script, lab, never));
+    let played = played.expect("a day");
+    let report = report(&plan, "test", played.began, &played.lines, day.aims);
+    let lines = played.lines.into_iter().filter(|line| line.t >= played.began).collect();
+    (report, lines)
+}
+
+/// How often clients were answered so, from this second of the day on.
+fn answered(lines: &[Line], from: u64, answer: Word) -> usize {
+    let began = lines.first().map_or(0, |line| line.t);
+    let answers = lines.iter().filter(|line| line.t >= began + from * 1_000_000);
+    answers.filter(|line| matches!(&line.seen, Seen::Word { word, .. } if *word == answer)).count()
+}
+
+/// A list service that starts anew with nothing, and says so under an older version, takes no card server away.
+#[test]
+fn a_list_service_that_starts_empty_costs_no_client_an_answer() {
+    let text = "length 16s\nat 0s start relays * within 400ms\nat 5s list fresh 5s\n";
+    let aims = Aims { down_s: 5.0, slack_s: None, fills: true };
+    let (report, lines) = day(&Day { seed: 31, text, aims }, 12);
+    assert_eq!(report.broken, Vec::<String>::new(), "{report:?}");
+    assert!(report.list_last_s.is_some(), "all hold the filled list at last: {report:?}");
+    assert!(answered(&lines, 5, Word::Up) > 10, "{report:?}");
+    assert_eq!((answered(&lines, 5, Word::Busy), answered(&lines, 5, Word::Failed)), (0, 0), "{report:?}");
+}
+
+/// Deaf, reset, cut one way: everybody has the list soon after, and nobody sends to a card server that drains.
+#[test]
+fn a_list_service_that_is_deaf_to_all_is_found_again_and_drains_are_kept() {
+    let text = "length 24s\nat 0s start relays * within 400ms\nat 0s link list/0-3 hole\nat 0s link list/4-7 reset 60B\n\
+                at 0s link list/8-11 cut back\nat 4s link list/* clear\n\
+                at 15s list state 0 leaving\nat 15800ms card 0 drain\n";
+    // A watch that was deaf is given up after 9.25 s at the latest.
+    let aims = Aims { down_s: 8.0, slack_s: Some(2.0), fills: false };
+    let (report, _) = day(&Day { seed: 32, text, aims }, 12);
+    assert_eq!(report.broken, Vec::<String>::new(), "{report:?}");
+    assert!(report.served > 90, "{report:?}");
+}
+
+/// The service is down at first, then all relays are stopped together, and one dies and starts each second all the while.
+#[test]
+fn a_service_that_was_down_and_relays_that_were_stopped_come_together_again() {
+    let text = "length 22s\nat 0s list down\nat 0s start relays * within 400ms\nat 4s list up\n\
+                at 9s loop relays 11 1s 8s\nat 12s stop relays 0-10\nat 15s cont relays 0-10\n";
+    let aims = Aims { down_s: 4.0, slack_s: Some(2.0), fills: false };
+    let (report, lines) = day(&Day { seed: 33, text, aims }, 120);
+    assert_eq!(report.broken, Vec::<String>::new(), "{report:?}");
+    // One of 120, as it is told, has a window of 1.4 s: a life of a second is not always a call.
+    let calls = lines.iter().filter(|line| matches!(&line.seen, Seen::Call { r: 11, first: true, .. })).count();
+    assert!(calls <= 12, "{calls} calls of the relay that kept dying");
+}
