The relay's rooms: clients, servers, counts, process (moves alone)

src/relay was one flat room of 24 files. Files moved with git mv; only paths and visibilities have changed (pub(super) is pub(in crate::relay)).

--- a/crates/lab/tests/cold_start.rs
+++ b/crates/lab/tests/cold_start.rs
@@ -93,6 +93,7 @@
     let (report, lines) = day(&Day { seed: 33, text, aims }, 120);
     assert_eq!(report.broken, Vec::<String>::new(), "{report:?}");
     // One of 120, as it is told, has a window of 1.4 s: a life of a second is not always a call.
-    let calls = lines.iter().filter(|line| matches!(&line.seen, Seen::Call { r: 11, first: true, .. })).count();
+    let calls =
+        lines.iter().filter(|line| matches!(&line.seen, Seen::Call { r: 11, first: true, .. })).count();
     assert!(calls <= 12, "{calls} calls of the relay that kept dying");
 }
--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -14,7 +14,9 @@
 use tracing::warn;
 
 use crate::interface::Micros;
-use crate::relay::{Shared, handover, session};
+use crate::relay::Shared;
+use crate::relay::clients::session;
+use crate::relay::process::handover;
 use call::{Bad, Call};
 
 /// Callers at a time. Their descriptors are kept out of what sessions and the crowd may hold.
--- a/src/inspect.rs
+++ b/src/inspect.rs
@@ -8,7 +8,7 @@
 use honeyknot_gauges::state::State;
 use honeyknot_gauges::{Value, graphite};
 
-use crate::relay::config::secret;
+use crate::relay::process::config::secret;
 
 /// What to show.
 #[derive(clap::Subcommand)]
--- a/src/main.rs
+++ b/src/main.rs
@@ -9,7 +9,7 @@
 use honeyknot::logger::{self, Form};
 use honeyknot::relay::{
     self,
-    config::{Config, OperatorFiles},
+    process::config::{Config, OperatorFiles},
 };
 use tracing::level_filters::LevelFilter;
 
--- a/src/relay/door.rs
+++ b/src/relay/clients/door.rs
@@ -7,7 +7,8 @@
 use tokio::net::{TcpListener, TcpSocket};
 use tracing::error;
 
-use super::{Held, Shared, session};
+use super::session;
+use crate::relay::{Held, Shared};
 
 /// Pause after a failed accept: out of descriptors or memory, which passes as sessions end.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
--- a/src/relay/session.rs
+++ b/src/relay/clients/session.rs
@@ -13,10 +13,10 @@
 
 use super::crowd::Place;
 use super::lines::{self, FAILED, LineWatch, MOVE, Malformed, SessionHead, Word, report_value};
-use super::meter::Answer;
-use super::wheel::Timers;
-use super::{Held, Order, Placement, Shared};
 use crate::interface::*;
+use crate::relay::counts::meter::Answer;
+use crate::relay::wheel::Timers;
+use crate::relay::{Held, Order, Placement, Shared};
 
 /// A connection that has not asked for a session after this is ended, however slowly its line drips and however
 /// often it sent `PING`: it is owed an answer or a close within 3 s, of which it may have waited a part to be accepted.
--- a/src/relay/meter.rs
+++ b/src/relay/counts/meter.rs
@@ -8,9 +8,9 @@
 use tracing::{info, warn};
 
 use super::lasting::Folder;
-use super::lines::SessionHead;
-use super::{Relay, Shared};
 use crate::interface::*;
+use crate::relay::clients::lines::SessionHead;
+use crate::relay::{Relay, Shared};
 use crate::wire::Names;
 
 /// The tag's value of an outcome.
@@ -101,7 +101,7 @@
 impl Relay {
     /// Takes up what earlier lives of this relay have counted. A folder that cannot be used is told of, and the counts
     /// of this life then die with it.
-    pub(super) fn take_up_counts(&mut self, path: &Path, name: &str) {
+    pub(in crate::relay) fn take_up_counts(&mut self, path: &Path, name: &str) {
         match Folder::open(path, name) {
             Ok((folder, state)) => {
                 let lives = state.as_ref().map_or(1, |s| s.lives + 1);
@@ -125,12 +125,12 @@
     }
 
     /// Counts something.
-    pub(super) fn meter(&mut self, count: impl FnOnce(&mut Book)) {
+    pub(in crate::relay) fn meter(&mut self, count: impl FnOnce(&mut Book)) {
         count(&mut self.book);
     }
 
     /// The one answer to a connection whose class is known.
-    pub(super) fn meter_answer(&mut self, class: Option<ClassId>, answer: Answer) {
+    pub(in crate::relay) fn meter_answer(&mut self, class: Option<ClassId>, answer: Answer) {
         let family = match answer {
             Answer::Up => Family::Succeeded,
             Answer::Busy => Family::Declined,
@@ -172,13 +172,13 @@
         self.meter(|book| book.count(Family::Failed, cause));
     }
 
-    pub(super) fn meter_placed(&mut self, attempt: AttemptId, server: &ServerId) {
+    pub(in crate::relay) fn meter_placed(&mut self, attempt: AttemptId, server: &ServerId) {
         let site = self.zones.get(server).and_then(|zone| self.names.zones().get(zone.0));
         self.book.add(Family::Retries, 0, u64::from(attempt.0 > 0));
         self.book.add_open(Family::Placed, site.map_or("none", String::as_str), 1);
     }
 
-    pub(super) fn meter_stands(&mut self, took: Micros) {
+    pub(in crate::relay) fn meter_stands(&mut self, took: Micros) {
         self.meter(|book| {
             book.count(Family::Attempts, "up");
             book.add(Family::Served, 0, 1);
@@ -187,7 +187,7 @@
     }
 
     /// An attempt has ended without a session.
-    pub(super) fn meter_attempt(&mut self, outcome: Outcome) {
+    pub(in crate::relay) fn meter_attempt(&mut self, outcome: Outcome) {
         self.meter(|book| book.count(Family::Attempts, outcome_word(outcome)));
     }
 
@@ -206,7 +206,7 @@
         self.meter(|book| book.count(Family::Moves, "silent"));
     }
 
-    pub(super) fn meter_probed(&mut self, outcome: Outcome, took: Micros) {
+    pub(in crate::relay) fn meter_probed(&mut self, outcome: Outcome, took: Micros) {
         let word = if outcome == Outcome::Ok { "ok" } else { outcome_word(outcome) };
         self.meter(|book| {
             book.count(Family::Probes, word);
--- a/src/relay/sinks.rs
+++ b/src/relay/counts/sinks.rs
@@ -18,8 +18,9 @@
 use tokio::time::{Instant, MissedTickBehavior, interval_at, sleep_until, timeout};
 use tracing::{info, warn};
 
+use super::meter;
 use super::waiting::Waiting;
-use super::{Held, Shared, meter};
+use crate::relay::{Held, Shared};
 
 /// Readings that wait in memory where there is a spool: older ones wait on disk.
 const LIVE: usize = 2;
--- a/src/relay/waiting.rs
+++ b/src/relay/counts/waiting.rs
@@ -9,8 +9,8 @@
 use tokio::task::spawn_blocking;
 use tracing::{info, warn};
 
-use super::Shared;
 use super::spool::Spool;
+use crate::relay::Shared;
 
 /// A sink's spool, and the record of it that is on its way.
 pub struct Waiting {
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -3,25 +3,11 @@
 //! Everything runs on one thread. Each study session is a task (`session`) that talks to the relay by plain
 //! calls and gets its orders by a queue of its own; no borrow of the relay is held across an await.
 
+pub mod clients;
 pub mod clock;
-pub mod config;
-pub mod crowd;
-mod delays;
-mod door;
-pub mod handover;
-mod held;
-mod lasting;
-pub mod lines;
-mod meter;
-pub mod probe;
-pub mod reload;
-pub mod roll;
-pub mod session;
-pub mod shutdown;
-mod sinks;
-mod sites;
-mod spool;
-mod waiting;
+pub mod counts;
+pub mod process;
+pub mod servers;
 pub mod wheel;
 
 use std::cell::{Cell, RefCell};
@@ -41,15 +27,19 @@
 use crate::interface::*;
 use crate::wire::Names;
 use crate::{Balancer, Withheld};
+use clients::crowd::Crowd;
+use clients::door;
+use clients::lines::SessionHead;
 use clock::Clock;
-use config::{Config, OperatorFiles};
-use crowd::Crowd;
-use delays::Delays;
-use handover::{Folder, Incumbent, Tenure};
-use lines::SessionHead;
-use meter::Answer;
-use probe::Errand;
-use roll::{Ask, RollNews};
+use counts::meter::{self, Answer};
+use counts::sinks;
+use process::config::{Config, OperatorFiles};
+use process::handover::{self, Folder, Incumbent, Tenure};
+use process::{reload, shutdown};
+use servers::delays::{self, Delays};
+use servers::probe::{self, Errand};
+use servers::roll::{self, Ask, RollNews};
+use servers::sites;
 use wheel::{Alarm, Timers};
 
 /// Descriptors kept for all that is no session: standard streams, the runtime's own, listener and discovery.
--- a/src/relay/config.rs
+++ b/src/relay/process/config.rs
@@ -7,9 +7,9 @@
 use honeyknot_sites::Plan;
 use serde_json::Value;
 
-use super::lines::address;
-use super::roll::{RollNews, read_roll};
 use crate::interface::Settings;
+use crate::relay::clients::lines::address;
+use crate::relay::servers::roll::{RollNews, read_roll};
 use crate::wire::{self, Names};
 
 /// Descriptors to live within where no limit is told.
--- a/src/relay/handover.rs
+++ b/src/relay/process/handover.rs
@@ -21,10 +21,11 @@
 use tokio::task::AbortHandle;
 use tracing::{info, warn};
 
-use super::session::{self, Bundle, Passed};
-use super::wheel::Timers;
-use super::{Relay, Shared, door};
 use crate::interface::*;
+use crate::relay::clients::door;
+use crate::relay::clients::session::{self, Bundle, Passed};
+use crate::relay::wheel::Timers;
+use crate::relay::{Relay, Shared};
 pub use kept::Folder;
 use line::Line;
 
@@ -463,7 +464,7 @@
     }
 
     /// What is out by hand, and what was put back, in the form that is handed over.
-    pub(super) fn by_hand(&self) -> ByHand {
+    pub(in crate::relay) fn by_hand(&self) -> ByHand {
         let name = |id: &ServerId| id.0.as_ref().to_owned();
         let back = self.withheld.back().map(|(id, was)| (name(id), was.from, was.to)).collect();
         ByHand { out: self.withheld.out().map(|(id, since)| (name(id), since)).collect(), back }
--- a/src/relay/handover/kept.rs
+++ b/src/relay/process/handover/kept.rs
@@ -14,7 +14,8 @@
 use tracing::warn;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::{ByHand, Shared};
+use super::ByHand;
+use crate::relay::Shared;
 
 /// What the file begins with: its form and version.
 const MAGIC: &str = "honeyknot-by-hand 1";
--- a/src/relay/reload.rs
+++ b/src/relay/process/reload.rs
@@ -5,7 +5,8 @@
 use tracing::{info, warn};
 
 use super::config::Config;
-use super::{Shared, sinks};
+use crate::relay::Shared;
+use crate::relay::counts::sinks;
 
 /// Configurations as they were read again, or why one could not be.
 pub type Reloads = UnboundedReceiver<Result<Config, String>>;
--- a/src/relay/shutdown.rs
+++ b/src/relay/process/shutdown.rs
@@ -6,8 +6,8 @@
 use tokio::signal::unix::{SignalKind, signal as listen_for};
 use tracing::info;
 
-use super::{Order, Shared};
 use crate::interface::Micros;
+use crate::relay::{Order, Shared};
 
 /// The front layer still sends newcomers for this long: a client moved earlier could come back here.
 const FRONT_NOTICES: Micros = 400_000;
--- a/src/relay/held.rs
+++ b/src/relay/servers/held.rs
@@ -9,9 +9,9 @@
 use honeyknot_listing::Trouble;
 use tracing::{info, warn};
 
-use super::Relay;
 use super::roll::{Failure, RollNews};
 use crate::interface::*;
+use crate::relay::Relay;
 
 /// The tag's value of a failed call.
 fn trouble_word(trouble: Trouble) -> &'static str {
@@ -30,7 +30,7 @@
         self.settings.discovery == Discovery::OnRequest
     }
 
-    pub(super) fn take_known(&mut self, news: RollNews) {
+    pub(in crate::relay) fn take_known(&mut self, news: RollNews) {
         let update = ListUpdate::Cached(self.note_roll(news));
         self.site_news(&update);
         self.feed(Event::Servers { version: self.version, update });
@@ -105,7 +105,7 @@
     }
 
     /// Tells the decisions what operators have changed of a card server.
-    pub(super) fn show(&mut self, seen: Option<ServerEntry>) {
+    pub(in crate::relay) fn show(&mut self, seen: Option<ServerEntry>) {
         let Some(entry) = seen else { return };
         info!(target: "admin", server = &*entry.server.0, state = ?entry.state, "by hand");
         let update = ListUpdate::Delta(self.note_entries(vec![entry], false));
@@ -131,7 +131,7 @@
     }
 
     /// Who leaves or is gone by what discovery says.
-    pub(super) fn leaving(&self) -> Vec<String> {
+    pub(in crate::relay) fn leaving(&self) -> Vec<String> {
         let by_roll = self.leaving.keys().filter(|id| !self.withheld.holds(id));
         by_roll.map(|id| id.0.as_ref().to_owned()).collect()
     }
--- a/src/relay/probe.rs
+++ b/src/relay/servers/probe.rs
@@ -5,9 +5,9 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 
-use super::lines::{Word, first_line, report_value};
-use super::{Held, Shared};
 use crate::interface::*;
+use crate::relay::clients::lines::{Word, first_line, report_value};
+use crate::relay::{Held, Shared};
 
 /// A probe without an answer after this has failed.
 const PROBE_WAIT: Micros = 500_000;
--- a/src/relay/roll.rs
+++ b/src/relay/servers/roll.rs
@@ -12,10 +12,10 @@
 use tokio::sync::mpsc::UnboundedReceiver;
 use tracing::{info, warn};
 
-use super::Shared;
-use super::lines::address;
-use super::wheel::Timers;
 use crate::interface::*;
+use crate::relay::Shared;
+use crate::relay::clients::lines::address;
+use crate::relay::wheel::Timers;
 use crate::wire::Names;
 
 /// A connection that is not up after this counts as a failed call: one lost packet is sent again after a second.
--- a/src/relay/sites.rs
+++ b/src/relay/servers/sites.rs
@@ -4,10 +4,10 @@
 use honeyknot_sites::{Do, Plan, Setup, Sites, Verdict};
 use tracing::info;
 
-use super::config::Config;
 use super::probe::Errand;
-use super::{Order, Relay};
 use crate::interface::*;
+use crate::relay::process::config::Config;
+use crate::relay::{Order, Relay};
 use crate::wire::Names;
 
 /// The least price of crossing sites that the decisions reckon with when tiers hold: they then prefer the own site
@@ -62,12 +62,12 @@
         }
     }
 
-    pub(super) fn site_news(&mut self, update: &ListUpdate) {
+    pub(in crate::relay) fn site_news(&mut self, update: &ListUpdate) {
         self.tell_sites(|sites, now, wants| sites.take_list(now, update, wants));
     }
 
     /// Where a newcomer may be placed, or that it may not.
-    pub(super) fn site_verdict(&mut self, request: &Request) -> Verdict {
+    pub(in crate::relay) fn site_verdict(&mut self, request: &Request) -> Verdict {
         let (now, most) = (self.timers.clock.now(), self.longest_away());
         match self.sites.as_mut().map(|sites| sites.ask(now, request.group.as_ref())) {
             None => Verdict::Within(Reach::EVERYWHERE),
@@ -76,7 +76,7 @@
         }
     }
 
-    pub(super) fn site_placed(&mut self, id: RequestId, server: &ServerId) {
+    pub(in crate::relay) fn site_placed(&mut self, id: RequestId, server: &ServerId) {
         if self.sites.is_none() {
             return;
         }
@@ -84,11 +84,11 @@
         self.tell_sites(|sites, now, _| sites.placed(now, id, server, deck.as_ref()));
     }
 
-    pub(super) fn site_adopted(&mut self, request: &Request, server: &ServerId) {
+    pub(in crate::relay) fn site_adopted(&mut self, request: &Request, server: &ServerId) {
         self.tell_sites(|sites, now, _| sites.adopted(now, request.id, server, request.group.as_ref()));
     }
 
-    pub(super) fn site_stands(&mut self, id: RequestId, server: &ServerId) {
+    pub(in crate::relay) fn site_stands(&mut self, id: RequestId, server: &ServerId) {
         self.tell_sites(|sites, now, wants| {
             sites.stands(now, id);
             sites.sign(now, server, true, wants);
@@ -97,7 +97,7 @@
 
     /// An attempt, or a session that stood, has ended. One that stood says nothing of its card server's silence: a
     /// jammed one resets sessions and still answers.
-    pub(super) fn site_ended(&mut self, id: RequestId, server: &ServerId, outcome: Outcome) {
+    pub(in crate::relay) fn site_ended(&mut self, id: RequestId, server: &ServerId, outcome: Outcome) {
         let stood = self.seats.get(&id).is_some_and(|s| s.stands);
         let alive = sign_of_life(outcome);
         self.tell_sites(|sites, now, wants| {
@@ -108,7 +108,7 @@
         });
     }
 
-    pub(super) fn site_probed(&mut self, server: &ServerId, outcome: Outcome, load: Option<f64>) {
+    pub(in crate::relay) fn site_probed(&mut self, server: &ServerId, outcome: Outcome, load: Option<f64>) {
         // A probe costs next to nothing: one that is reset is no shed session.
         let alive = if outcome == Outcome::Reset { Some(false) } else { sign_of_life(outcome) };
         self.tell_sites(|sites, now, wants| {
@@ -121,14 +121,14 @@
         });
     }
 
-    pub(super) fn tend_sites(&mut self) {
+    pub(in crate::relay) fn tend_sites(&mut self) {
         if !self.closing {
             self.tell_sites(Sites::tick);
         }
     }
 
     /// Takes the operators' plan from a configuration that was read again.
-    pub(super) fn site_plan(&mut self, config: &Config) {
+    pub(in crate::relay) fn site_plan(&mut self, config: &Config) {
         if let (Some(sites), Some(plan)) = (&mut self.sites, &config.sites) {
             sites.replan(plan.clone());
         }
--- a/tests/loopback/mod.rs
+++ b/tests/loopback/mod.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use honeyknot::relay::config::Config;
+use honeyknot::relay::process::config::Config;
 use honeyknot::relay::{Listeners, serve_on};
 use serde_json::json;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -1,9 +1,9 @@
 //! Random cuts of valid messages and random garbage against every parser of the relay, from fixed seeds.
 
 use bytes::{Bytes, BytesMut};
-use honeyknot::relay::config::Config;
-use honeyknot::relay::lines::{LONGEST, LineWatch, SessionHead, Word, first_line, report_value};
-use honeyknot::relay::roll::{read_roll, take_answer};
+use honeyknot::relay::clients::lines::{LONGEST, LineWatch, SessionHead, Word, first_line, report_value};
+use honeyknot::relay::process::config::Config;
+use honeyknot::relay::servers::roll::{read_roll, take_answer};
 use honeyknot::wire::Names;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use honeyknot::relay::config::Config;
+use honeyknot::relay::process::config::Config;
 use loopback::{Line, OPEN, Relay, case, config, config_text, line, listen, open, rest, say, session};
 use serde_json::json;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
--- a/tests/wheel.rs
+++ b/tests/wheel.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use honeyknot::relay::shutdown::due_now;
+use honeyknot::relay::process::shutdown::due_now;
 use honeyknot::relay::wheel::{TICK, Wheel};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
