Operators' calls know the hub no more: a trait of their own, Desk

src/admin imported the hub (Shared, handover, session) and the hub imported it. It now asks whoever serves through Desk, which process/operators.rs implements; the orderly end of a connection, which both need, is a leaf of its own (clients/farewell.rs, moved out of session.rs).

--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -1,11 +1,14 @@
 //! The operators' address: one call a connection, one answer, close.
 //!
-//! It decides nothing and counts nothing: calls are parsed in [`call`], answers come from the relay's own state.
+//! It decides nothing and counts nothing: calls are parsed in [`call`], and whoever serves answers them as a [`Desk`]. It
+//! does not know the relay's hub.
 
 pub mod ask;
 pub mod call;
 
 use std::collections::VecDeque;
+use std::future::Future;
+use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -14,9 +17,8 @@
 use tracing::warn;
 
 use crate::interface::Micros;
-use crate::relay::Shared;
-use crate::relay::clients::session;
-use crate::relay::process::handover;
+use crate::relay::clients::farewell;
+use crate::relay::wheel::Timers;
 use call::{Bad, Call};
 
 /// Callers at a time. Their descriptors are kept out of what sessions and the crowd may hold.
@@ -30,12 +32,24 @@
 /// Pause after an accept that failed.
 const PAUSE: Duration = Duration::from_millis(20);
 
+/// Whoever serves, as operators see it.
+pub trait Desk: Clone + 'static {
+    /// Its clock and wheel.
+    fn timers(&self) -> Rc<Timers>;
+    /// All figures, as one line of JSON.
+    fn figures(&self) -> String;
+    /// Whether it serves, or why not.
+    fn can_serve(&self) -> Result<(), String>;
+    /// Takes a card server out by hand, or puts it back. When this resolves, it holds.
+    fn by_hand(&self, id: String, out: bool) -> impl Future<Output = Result<(), String>>;
+}
+
 /// Who holds a connection, by age; ended callers are taken out when the next one comes.
 type Callers = VecDeque<(AbortHandle, Micros)>;
 
 /// Answers calls until the relay ends.
-pub async fn serve(relay: Shared, listener: TcpListener) {
-    let timers = relay.borrow().timers.clone();
+pub async fn serve(desk: impl Desk, listener: TcpListener) {
+    let timers = desk.timers();
     let mut callers = Callers::default();
     loop {
         let stream = match listener.accept().await {
@@ -54,7 +68,7 @@
             timers.until(since + NEW).await;
             task.abort();
         }
-        let task = tokio::task::spawn_local(answer(relay.clone(), stream));
+        let task = tokio::task::spawn_local(answer(desk.clone(), stream));
         callers.push_back((task.abort_handle(), timers.clock.now()));
         // It is read before another can take its place.
         tokio::task::yield_now().await;
@@ -62,8 +76,8 @@
 }
 
 /// One caller: its call, the answer, the end.
-async fn answer(relay: Shared, mut stream: TcpStream) {
-    let timers = relay.borrow().timers.clone();
+async fn answer(desk: impl Desk, mut stream: TcpStream) {
+    let timers = desk.timers();
     let _ = stream.set_nodelay(true);
     let mut bytes = Vec::with_capacity(call::LONGEST);
     let call = tokio::select! {
@@ -72,7 +86,7 @@
     };
     let Some(call) = call else { return };
     let answer = match call {
-        Ok(call) => carry_out(&relay, call).await,
+        Ok(call) => carry_out(&desk, call).await,
         Err(why) => format!("NO {why}\n"),
     };
     // Callers get the line ends that they use.
@@ -83,7 +97,7 @@
         () = timers.nap(PATIENCE) => false,
     };
     if sent {
-        session::end(&timers, stream).await;
+        farewell::end(&timers, stream).await;
     }
 }
 
@@ -101,12 +115,12 @@
     }
 }
 
-async fn carry_out(relay: &Shared, call: Call) -> String {
+async fn carry_out(desk: &impl Desk, call: Call) -> String {
     let done = match call {
-        Call::Stats => return format!("{}\nEND\n", relay.borrow().figures()),
-        Call::Status => relay.borrow().can_serve().map_err(str::to_owned),
-        Call::MaintOn(id) => handover::by_hand(relay, &id, true).await,
-        Call::MaintOff(id) => handover::by_hand(relay, &id, false).await,
+        Call::Stats => return format!("{}\nEND\n", desk.figures()),
+        Call::Status => desk.can_serve(),
+        Call::MaintOn(id) => desk.by_hand(id, true).await,
+        Call::MaintOff(id) => desk.by_hand(id, false).await,
     };
     match done {
         Ok(()) => "YES\n".to_owned(),
--- a/src/relay/clients/mod.rs
+++ b/src/relay/clients/mod.rs
@@ -5,5 +5,6 @@
 
 pub mod crowd;
 pub(in crate::relay) mod door;
+pub mod farewell;
 pub mod lines;
 pub mod session;
--- a/src/relay/clients/session.rs
+++ b/src/relay/clients/session.rs
@@ -12,6 +12,7 @@
 use tracing::debug;
 
 use super::crowd::Place;
+use super::farewell::{FAREWELL, end};
 use super::lines::{self, FAILED, LineWatch, MOVE, Malformed, SessionHead, Word, report_value};
 use crate::interface::*;
 use crate::relay::counts::meter::Answer;
@@ -24,11 +25,6 @@
 const HEAD_WAIT: Micros = 2_500_000;
 /// Buffers of a session, each way: more than the longest line, so that one always fits.
 const BUFFER: usize = 4096;
-/// What is read of a connection that gets its last line, at the most: closing with unread bytes may reset the
-/// connection before that line is read, and a client that floods must not be read for ever.
-const LEFTOVERS: usize = 256 * 1024;
-/// A last line and the end of a connection are given this long to get through.
-const FAREWELL: Micros = 300_000;
 /// A client's line without a whole line back for this long: the card server is silent there and the client is moved.
 /// Clients send a line every 2 s, so the last answer may be older by as much, and 7 s is all that it may be.
 const SILENCE: Micros = 4_200_000;
@@ -163,30 +159,6 @@
     Spoke,
 }
 
-/// Ends a connection so that what was written last still arrives: closing with unread bytes would reset it.
-pub async fn end(timers: &Rc<Timers>, mut stream: TcpStream) {
-    let _ = stream.shutdown().await;
-    tokio::select! {
-        () = drain(&stream) => {}
-        () = timers.nap(FAREWELL) => {}
-    }
-}
-
-/// Reads what still comes until the other side ends; past the bound it is left to wait. The room to read into is
-/// not kept across an await, as hundreds may be ending at once.
-async fn drain(stream: &TcpStream) {
-    let mut read = 0;
-    while read < LEFTOVERS && stream.readable().await.is_ok() {
-        match stream.try_read(&mut [0; 16 * 1024]) {
-            Ok(0) => return,
-            Ok(n) => read += n,
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-            Err(_) => return,
-        }
-    }
-    std::future::pending().await
-}
-
 /// Ends a connection as its other side ended: with a reset, or in order.
 async fn mirror(timers: &Rc<Timers>, stream: TcpStream, reset: bool) {
     if reset {
--- a/src/relay/process/mod.rs
+++ b/src/relay/process/mod.rs
@@ -4,5 +4,6 @@
 
 pub mod config;
 pub mod handover;
+mod operators;
 pub mod reload;
 pub mod shutdown;
--- /dev/null
+++ b/src/relay/process/operators.rs
@@ -0,0 +1,28 @@
+//! What operators can ask of the relay.
+
+use std::future::Future;
+use std::rc::Rc;
+
+use super::handover;
+use crate::admin::Desk;
+use crate::relay::Shared;
+use crate::relay::wheel::Timers;
+
+impl Desk for Shared {
+    fn timers(&self) -> Rc<Timers> {
+        self.borrow().timers.clone()
+    }
+
+    fn figures(&self) -> String {
+        self.borrow().figures()
+    }
+
+    fn can_serve(&self) -> Result<(), String> {
+        self.borrow().can_serve().map_err(str::to_owned)
+    }
+
+    fn by_hand(&self, id: String, out: bool) -> impl Future<Output = Result<(), String>> {
+        let relay = self.clone();
+        async move { handover::by_hand(&relay, &id, out).await }
+    }
+}
