--- /dev/null
+++ b/crates/lab/src/fleet/drawn.rs
@@ -0,0 +1,76 @@
+//! Days whose faults are drawn from a seed, as scripts that replay them.
+
+use std::fmt::Write;
+
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+/// Faults begin from this second on, and all are over by `QUIET` seconds before the day's end.
+const FROM: u64 = 6;
+/// See [`FROM`]. Long enough for the longest wait after a failed call, and a watch.
+const QUIET: u64 = 45;
+/// Faults overlap within this many seconds.
+const SPAN: u64 = 20;
+
+/// The script of a seed, for so many relays.
+pub fn draw(seed: u64, relays: usize, call_ms: u64) -> String {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed ^ 0xd4a7);
+    let mut text = format!("length {}s\nat 0s start relays * within 400ms\n", FROM + SPAN + QUIET);
+    let kinds =
+        ["down", "cost", "mute", "hole", "cut", "reset", "delay", "kill", "stop", "loop", "slow-cards"];
+    let (mut list_is_down, mut stopped) = (false, false);
+    for _ in 0..rng.random_range(3..=6) {
+        let begin = rng.random_range(FROM * 1_000..(FROM + SPAN / 2) * 1_000);
+        let end = begin + rng.random_range(500..SPAN * 500);
+        let from = rng.random_range(0..relays);
+        let to = rng.random_range(from..relays);
+        let part = rng.random_range(10..=70);
+        let mut line = |at: u64, what: String| {
+            let _ = writeln!(text, "at {at}ms {what}");
+        };
+        match kinds.choose(&mut rng).copied().unwrap_or("down") {
+            // One process is killed or stopped once a day: two faults on it would end each other.
+            "down" if !list_is_down => {
+                list_is_down = true;
+                line(begin, "list down".into());
+                line(end, "list up".into());
+            }
+            "cost" => {
+                line(begin, format!("list cost {}ms", rng.random_range(100..600)));
+                line(end, format!("list cost {call_ms}ms"));
+            }
+            "mute" => {
+                line(begin, "list mute on".into());
+                line(end, "list mute off".into());
+            }
+            "kill" => {
+                line(begin, format!("kill relays {part}%"));
+                line(end, "start relays dead within 400ms".into());
+            }
+            "stop" if !stopped => {
+                stopped = true;
+                line(begin, format!("stop relays {from}-{to}"));
+                line(end, format!("cont relays {from}-{to}"));
+            }
+            "loop" => line(begin, format!("loop relays {from} 1s {}ms", end - begin)),
+            "slow-cards" => {
+                line(begin, format!("link cards/*/* delay 1ms {}ms", rng.random_range(5..60)));
+                line(end, "link cards/*/* clear".into());
+            }
+            kind => {
+                let fault = match kind {
+                    "hole" => "hole".to_owned(),
+                    "cut" => ["cut there", "cut back"].choose(&mut rng).copied().unwrap_or("hole").to_owned(),
+                    "reset" => format!("reset {}B", rng.random_range(1..2_000)),
+                    _ => format!("delay 1ms {}ms", rng.random_range(50..1_500)),
+                };
+                line(begin, format!("link list/{from}-{to} {fault}"));
+                line(end, format!("link list/{from}-{to} clear"));
+            }
+        }
+    }
+    // What is over is over for all: a killed relay whose start came before its kill, a link that was cleared in part.
+    let _ = write!(text, "at {0}s link list/* clear\nat {0}s start relays dead\n", FROM + SPAN);
+    text
+}
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -13,6 +13,7 @@
 pub mod book;
 pub mod cards;
 pub mod clients;
+pub mod drawn;
 pub mod links;
 pub mod list;
 pub mod relays;
--- a/crates/lab/src/fleet/starts.rs
+++ b/crates/lab/src/fleet/starts.rs
@@ -3,6 +3,7 @@
 use std::fmt::Write;
 
 use super::Held;
+use super::drawn;
 use super::report::Aims;
 use super::script::{Script, read};
 
@@ -27,6 +28,8 @@
     Rolling,
     /// All relays are stopped for 8 s and go on together.
     Stopped,
+    /// Three to six faults drawn from the seed; a day that breaks a promise tells the script that replays it.
+    Drawn,
 }
 
 impl ColdStart {
@@ -42,6 +45,7 @@
             ColdStart::Empty => "empty",
             ColdStart::Rolling => "rolling",
             ColdStart::Stopped => "stopped",
+            ColdStart::Drawn => "drawn",
         }
     }
 
@@ -55,14 +59,20 @@
     }
 
     /// The script for so many relays, a whole list taking so many milliseconds.
-    pub fn script(self, relays: usize, call_ms: u64) -> Result<Script, String> {
+    pub fn script(self, relays: usize, call_ms: u64, seed: u64) -> Result<Script, String> {
+        read(&format!("the day `{}`", self.name()), &self.text(relays, call_ms, seed))
+    }
+
+    /// The text of that script.
+    pub fn text(self, relays: usize, call_ms: u64, seed: u64) -> String {
         let work = relays as u64 * call_ms / 1_000;
         let (third, last) = (relays / 3, relays.saturating_sub(1));
         let start = "at 0s start relays * within 400ms";
         let drain =
             |at: u64| format!("at {at}s list state 0 leaving\nat {}ms card 0 drain", at * 1_000 + 800);
         let settled = 14 + 2 * work;
-        let text = match self {
+        match self {
+            ColdStart::Drawn => drawn::draw(seed, relays, call_ms),
             ColdStart::Healthy | ColdStart::NoList | ColdStart::Stale => {
                 format!("length {}s\n{start}\n{}", settled + 10, drain(settled))
             }
@@ -104,8 +114,7 @@
                 settled + 8,
                 drain(settled + 16)
             ),
-        };
-        read(&format!("the day `{}`", self.name()), &text)
+        }
     }
 
     /// What it promises.
@@ -116,7 +125,7 @@
             _ => 0.0,
         };
         // Where relays start again and again, each start has its own window; where the list fills, the day before counts.
-        let judged = !matches!(self, ColdStart::Empty | ColdStart::Rolling);
+        let judged = !matches!(self, ColdStart::Empty | ColdStart::Rolling | ColdStart::Drawn);
         Aims { down_s, slack_s: judged.then_some(2.0), fills: self == ColdStart::Empty }
     }
 }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -355,7 +355,7 @@
             let text = std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?;
             fleet::script::read(&file.display().to_string(), &text)?
         }
-        None => args.scenario.script(relays, args.call_ms)?,
+        None => args.scenario.script(relays, args.call_ms, args.seed)?,
     };
     let net = fleet::run::Net::take(args.seed)?;
     let plan = fleet::Plan {
@@ -384,6 +384,10 @@
             report.lag_ms
         );
     }
+    if !report.broken.is_empty() && args.scenario == ColdStart::Drawn && args.faults.is_none() {
+        let text = args.scenario.text(relays, args.call_ms, args.seed);
+        eprintln!("seed {}; --faults with these lines replays the script:\n{text}", args.seed);
+    }
     if args.json {
         println!("{}", serde_json::to_string(&report).map_err(|e| e.to_string())?);
     } else {
--- a/crates/lab/tests/fleet.rs
+++ b/crates/lab/tests/fleet.rs
@@ -118,10 +118,14 @@
     use clap::ValueEnum;
     for scenario in ColdStart::value_variants() {
         for relays in [1, 12, 300] {
-            let script = scenario.script(relays, 20).expect("a sound script");
+            let script = scenario.script(relays, 20, 5).expect("a sound script");
             assert!(script.steps.iter().all(|(at, _)| *at < script.length), "{scenario:?}");
         }
     }
+    for seed in 0..500 {
+        let script = ColdStart::Drawn.script(12, 20, seed).expect("a sound script");
+        assert_eq!(Ok(script), ColdStart::Drawn.script(12, 20, seed), "a seed replays its script");
+    }
     let text = "at 0s start relays 7-3\nat 1 kill relays *\nat 1s link list/x hole\nat 1s link list/* delay 9ms 3ms\nfoo\n";
     let told = script::read("day", text).expect_err("faults");
     for what in
