--- /dev/null
+++ b/crates/lab/src/asked.rs
@@ -0,0 +1,44 @@
+//! What both stand-ins of discovery read, and what all card servers say of themselves.
+
+use std::time::Duration;
+
+use tokio::io::{AsyncBufReadExt, BufReader};
+use tokio::net::TcpStream;
+
+use crate::model::Report;
+
+/// A call to discovery.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Query {
+    /// Changes are asked for from this version on; else the whole list.
+    pub since: Option<u64>,
+    /// How long it may wait for them.
+    pub wait: Duration,
+}
+
+/// Reads the next call off a connection; none at its end.
+pub async fn query(stream: &mut BufReader<TcpStream>) -> Option<Query> {
+    let mut head = String::new();
+    loop {
+        let before = head.len();
+        match stream.read_line(&mut head).await {
+            Ok(n) if n > 0 && head.len() < 8192 => {}
+            _ => return None,
+        }
+        if head[before..].trim_end().is_empty() {
+            break;
+        }
+    }
+    let query = head.split(' ').nth(1).and_then(|path| path.split_once('?')).map_or("", |(_, query)| query);
+    let number = |name: &str| -> Option<u64> {
+        query.split('&').filter_map(|p| p.split_once('=')).find(|(n, _)| *n == name)?.1.parse().ok()
+    };
+    let wait = Duration::from_millis(number("wait").unwrap_or(0).min(60_000));
+    Some(Query { since: number("index"), wait })
+}
+
+/// A card server's answer to a probe.
+pub fn probed(report: &Report) -> String {
+    let Report { util, latency_ms, x0 } = report;
+    format!("PONG util={util:.3},latency_ms={latency_ms:.1},x0={x0:.3}\r\n")
+}
--- a/crates/lab/src/fleet/cards.rs
+++ b/crates/lab/src/fleet/cards.rs
@@ -12,6 +12,7 @@
 
 use super::Plan;
 use super::book::{Book, Seen};
+use crate::asked::probed;
 use crate::model::{CardModel, Held, Make, Opened};
 
 /// Usual sessions that fill a card server at the least; more where the clients are many.
@@ -146,9 +147,7 @@
             ["STATS"] => {
                 let mut card = card.borrow_mut();
                 card.book.enter(Seen::Probe { s: card.s });
-                let report = card.model.report(super::now());
-                let (util, ms, x0) = (report.util, report.latency_ms, report.x0);
-                format!("PONG util={util:.3},latency_ms={ms:.1},x0={x0:.3}\r\n")
+                probed(&card.model.report(super::now()))
             }
             ["OPEN", id, _, figures] => return session(&mut seat, &mut stream, id, figures).await,
             _ => "SYNTAX\r\n".to_owned(),
--- a/crates/lab/src/fleet/list.rs
+++ b/crates/lab/src/fleet/list.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use serde_json::json;
-use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, oneshot, watch};
 use tokio::task::spawn_local;
@@ -14,6 +14,7 @@
 
 use super::book::{Asked, Book, End, Seen};
 use super::{Held, Plan, VERSION};
+use crate::asked::{Query, query};
 
 /// A call that has waited longer than this is turned away ...
 const TOO_LONG: u64 = 2_000_000;
@@ -216,25 +217,7 @@
 async fn serve(service: Shared, wake: Rc<Notify>, relay: usize, stream: TcpStream) {
     let _ = stream.set_nodelay(true);
     let mut stream = BufReader::new(stream);
-    loop {
-        let mut head = String::new();
-        loop {
-            let before = head.len();
-            match stream.read_line(&mut head).await {
-                Ok(n) if n > 0 && head.len() < 8192 => {}
-                _ => return,
-            }
-            if head[before..].trim_end().is_empty() {
-                break;
-            }
-        }
-        let path = head.split(' ').nth(1).unwrap_or_default().to_owned();
-        let query = path.split_once('?').map_or("", |(_, q)| q);
-        let number = |name: &str| -> Option<u64> {
-            query.split('&').filter_map(|p| p.split_once('=')).find(|(n, _)| *n == name)?.1.parse().ok()
-        };
-        let since = number("index");
-        let wait = Duration::from_millis(number("wait").unwrap_or(0).min(60_000));
+    while let Some(Query { since, wait }) = query(&mut stream).await {
         let gone = Rc::new(Cell::new(false));
         let ask = async {
             let Some(since) = since else {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -5,6 +5,7 @@
 //! are real processes of the program `honeyknot`. The stand-ins keep books ([`books`]) of what they have seen, and
 //! every verdict rests on those alone. Nothing of this is linked into the relay.
 
+pub mod asked;
 pub mod books;
 pub mod day;
 pub mod fleet;
--- a/crates/lab/src/world/cards.rs
+++ b/crates/lab/src/world/cards.rs
@@ -9,6 +9,7 @@
 use tokio::time::sleep;
 
 use super::{Life, Shared};
+use crate::asked::probed;
 use crate::model::{Held, Micros, Opened};
 
 /// Nothing new may be sent to a card server later than this after the news of its drain: the rule's 500 ms and the
@@ -130,9 +131,7 @@
                 let mut world = world.borrow_mut();
                 let now = world.now();
                 world.fleet.probes += 1;
-                let report = world.cards[server].model.report(now);
-                let (util, ms, x0) = (report.util, report.latency_ms, report.x0);
-                format!("PONG util={util:.3},latency_ms={ms:.1},x0={x0:.3}\r\n")
+                probed(&world.cards[server].model.report(now))
             }
             ["OPEN", id, _, figures] => {
                 return session(world, server, relay, stream, seat, id, figures).await;
--- a/crates/lab/src/world/roll.rs
+++ b/crates/lab/src/world/roll.rs
@@ -1,15 +1,15 @@
 //! The server roll over HTTP, with watches; it learns of things as late as the scenario says.
 
 use std::collections::BTreeMap;
-use std::time::Duration;
 
 use serde_json::json;
-use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::io::{AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::spawn_local;
 
 use super::Shared;
+use crate::asked::{Query, query};
 use crate::model::Micros;
 
 /// A line of the roll.
@@ -113,27 +113,9 @@
 async fn answer(world: Shared, relay: usize, stream: TcpStream) {
     let _ = stream.set_nodelay(true);
     let mut stream = BufReader::new(stream);
-    loop {
-        let mut head = String::new();
-        loop {
-            let before = head.len();
-            match stream.read_line(&mut head).await {
-                Ok(n) if n > 0 && head.len() < 8192 => {}
-                _ => return,
-            }
-            if head[before..].trim_end().is_empty() {
-                break;
-            }
-        }
-        let path = head.split(' ').nth(1).unwrap_or_default().to_owned();
-        let query = path.split_once('?').map_or("", |(_, q)| q);
-        let number = |name: &str| -> Option<u64> {
-            query.split('&').filter_map(|p| p.split_once('=')).find(|(n, _)| *n == name)?.1.parse().ok()
-        };
-        let since = number("index");
+    while let Some(Query { since, wait }) = query(&mut stream).await {
         let mut version = world.borrow().roll.version.subscribe();
         if let Some(since) = since {
-            let wait = Duration::from_millis(number("wait").unwrap_or(0).min(60_000));
             let _ = tokio::time::timeout(wait, version.wait_for(|v| *v > since)).await;
         }
         if world.borrow().roll.down {
