--- /dev/null
+++ b/crates/leases/src/book.rs
@@ -0,0 +1,194 @@
+//! What the keepers agree on: who holds which slot of which task, by which token. Changed by commands alone, in the order of
+//! the log, and without time: every keeper that has applied the same commands holds the same book.
+
+use std::collections::BTreeMap;
+
+use thiserror::Error;
+
+use crate::{Terms, planted};
+
+/// Tasks that a book holds at the most: none is ever forgotten, as its tokens must rise for ever.
+pub const MOST_TASKS: usize = 4_096;
+/// Slots of a counted lease at the most.
+pub const MOST_SLOTS: u32 = 1_024;
+
+/// A fencing token. Of a task's grants, a later one has a greater token, for ever.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Token(pub u64);
+
+/// A slot of a task that somebody holds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Lease {
+    /// Who.
+    pub holder: String,
+    /// What it asked with: the same request told twice is granted once.
+    pub nonce: u64,
+    /// Its token.
+    pub token: Token,
+    /// How often it was renewed.
+    pub renewals: u64,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+struct Task {
+    last_token: u64,
+    leases: Vec<Lease>,
+}
+
+/// A change of the book.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Command {
+    /// Somebody wants a slot of a task that has so many.
+    Acquire {
+        /// The task.
+        task: String,
+        /// Slots that it has.
+        slots: u32,
+        /// Who asks.
+        holder: String,
+        /// New with each request of a holder; the same when it is sent again.
+        nonce: u64,
+    },
+    /// A holder goes on.
+    Renew {
+        /// The task.
+        task: String,
+        /// Its token.
+        token: Token,
+    },
+    /// A holder is done, and has ended its last act.
+    Release {
+        /// The task.
+        task: String,
+        /// Its token.
+        token: Token,
+    },
+    /// The keeper that leads has seen a lease run out.
+    Expire {
+        /// The task.
+        task: String,
+        /// Its token.
+        token: Token,
+        /// The renewals that it knew of: one more, and the lease stays.
+        renewals: u64,
+    },
+}
+
+/// What became of a command.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// The slot is held, by this token.
+    Held(Token),
+    /// The slot is free.
+    Free,
+    /// Nothing has changed.
+    No(Refusal),
+}
+
+/// Why a command changed nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum Refusal {
+    /// Others hold all slots.
+    #[error("all slots of the task are held")]
+    Taken,
+    /// No such lease: it has ended, and perhaps another has begun.
+    #[error("no lease with this token; it has ended")]
+    Ended,
+    /// It was renewed meanwhile.
+    #[error("the lease was renewed meanwhile")]
+    Renewed,
+    /// The book is full.
+    #[error("the book holds {MOST_TASKS} tasks already")]
+    Full,
+    /// The task has none, or more than a book can hold.
+    #[error("a task has 1 to {MOST_SLOTS} slots")]
+    Slots,
+}
+
+/// The book.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Book {
+    tasks: BTreeMap<String, Task>,
+}
+
+impl Book {
+    /// Applies a command. The terms change nothing of what it does but for faults planted by tests.
+    pub fn apply(&mut self, terms: &Terms, command: &Command) -> Answer {
+        match command {
+            Command::Acquire { task, slots, holder, nonce } => self.acquire(task, *slots, holder, *nonce),
+            Command::Renew { task, token } => match self.lease(task, *token) {
+                Some(lease) => {
+                    lease.renewals += 1;
+                    Answer::Held(*token)
+                }
+                None => Answer::No(Refusal::Ended),
+            },
+            Command::Release { task, token } => {
+                let Some(task) = self.tasks.get_mut(task) else { return Answer::No(Refusal::Ended) };
+                let before = task.leases.len();
+                task.leases.retain(|lease| lease.token != *token && !planted!(terms, OldRelease));
+                if task.leases.len() < before { Answer::Free } else { Answer::No(Refusal::Ended) }
+            }
+            Command::Expire { task, token, renewals } => {
+                let renewed = match self.lease(task, *token) {
+                    Some(lease) => lease.renewals > *renewals,
+                    None => return Answer::No(Refusal::Ended),
+                };
+                if renewed && !planted!(terms, ExpiresRenewed) {
+                    return Answer::No(Refusal::Renewed);
+                }
+                if let Some(task) = self.tasks.get_mut(task) {
+                    task.leases.retain(|lease| lease.token != *token);
+                }
+                Answer::Free
+            }
+        }
+    }
+
+    fn acquire(&mut self, name: &str, slots: u32, holder: &str, nonce: u64) -> Answer {
+        if !(1..=MOST_SLOTS).contains(&slots) {
+            return Answer::No(Refusal::Slots);
+        }
+        if !self.tasks.contains_key(name) && self.tasks.len() >= MOST_TASKS {
+            return Answer::No(Refusal::Full);
+        }
+        let task = self.tasks.entry(name.to_owned()).or_default();
+        // The answer to the first telling was lost: it is told again, and the lease is renewed by that, as its holder counts
+        // from when it asked last. A holder has one slot of a task.
+        if let Some(own) = task.leases.iter_mut().find(|lease| lease.holder == holder) {
+            if own.nonce != nonce {
+                return Answer::No(Refusal::Taken);
+            }
+            own.renewals += 1;
+            return Answer::Held(own.token);
+        }
+        if task.leases.len() >= slots as usize {
+            return Answer::No(Refusal::Taken);
+        }
+        task.last_token += 1;
+        let token = Token(task.last_token);
+        task.leases.push(Lease { holder: holder.to_owned(), nonce, token, renewals: 0 });
+        Answer::Held(token)
+    }
+
+    fn lease(&mut self, task: &str, token: Token) -> Option<&mut Lease> {
+        self.tasks.get_mut(task)?.leases.iter_mut().find(|lease| lease.token == token)
+    }
+
+    /// All leases, by task and token.
+    pub fn leases(&self) -> impl Iterator<Item = (&str, &Lease)> {
+        self.tasks.iter().flat_map(|(name, task)| task.leases.iter().map(move |lease| (name.as_str(), lease)))
+    }
+
+    /// A keeper comes to lead with this book. It changes nothing, but for faults planted by tests.
+    pub fn taken_up(&mut self, terms: &Terms) {
+        for task in self.tasks.values_mut() {
+            if planted!(terms, ForgetsLeases) {
+                task.leases.clear();
+            }
+            if planted!(terms, TokenFromMemory) {
+                task.last_token = 0;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/leases/src/lib.rs
@@ -0,0 +1,99 @@
+#![forbid(unsafe_code)]
+//! Leases for fleet-wide tasks, as pure parts: the [`Book`] that keepers agree on, the [`Watchman`] of the keeper that leads,
+//! and the [`Holder`]'s side.
+//!
+//! Commands go into the book in the order of the keepers' log; answers come out. Times go into the other two, each by the steady
+//! clock of its own process. Nothing here reads a clock, sends a message or knows the consensus engine. What is promised, and
+//! under which assumptions, stands in `docs/design/leases.md`.
+
+mod book;
+mod holder;
+mod watchman;
+
+pub use book::{Answer, Book, Command, Lease, MOST_SLOTS, MOST_TASKS, Refusal, Token};
+pub use holder::{Asked, Holder, NotNow, Permit};
+pub use watchman::Watchman;
+
+/// Microseconds.
+pub type Micros = u64;
+
+/// What keepers and holders have in common. Both must be told the same.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Terms {
+    /// How long a lease lasts.
+    pub lease: Micros,
+    /// By how much the rate of any clock may differ from the true one, in parts of a million.
+    pub drift_ppm: u64,
+    /// What a holder leaves unused at the end of a lease.
+    pub margin: Micros,
+    /// A fault planted on purpose.
+    #[cfg(feature = "planted")]
+    pub planted: Option<Planted>,
+}
+
+/// Faults that the proofs must see.
+#[cfg(feature = "planted")]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Planted {
+    /// The holder counts from the answer.
+    CountsFromAnswer,
+    /// Nobody takes drift off.
+    NoDrift,
+    /// The keeper counts from the request.
+    KeeperCountsFromRequest,
+    /// A new leader takes tokens up from its memory, which is empty.
+    TokenFromMemory,
+    /// A new leader forgets the leases.
+    ForgetsLeases,
+    /// A permit says yes for ever once it was given.
+    PermitNotChecked,
+    /// A release goes out while an act is under way.
+    EarlyRelease,
+    /// A release frees whatever lease there is.
+    OldRelease,
+    /// An expiry ends a lease that was renewed meanwhile.
+    ExpiresRenewed,
+}
+
+impl Terms {
+    /// Sound terms with this lease: drift of 1 part in 1,000, a margin of a twentieth.
+    pub fn new(lease: Micros) -> Terms {
+        Terms {
+            lease,
+            drift_ppm: 1_000,
+            margin: lease / 20,
+            #[cfg(feature = "planted")]
+            planted: None,
+        }
+    }
+
+    #[cfg(feature = "planted")]
+    fn plants(&self, fault: Planted) -> bool {
+        self.planted == Some(fault)
+    }
+
+    /// The longest that a clock which runs slow may take for a span of true time, or one that runs fast may need to show it.
+    fn drift(&self, span: Micros) -> Micros {
+        #[cfg(feature = "planted")]
+        if self.plants(Planted::NoDrift) {
+            return 0;
+        }
+        // Twice, as two clocks may differ in both ways, and rounded up.
+        span.saturating_mul(2 * self.drift_ppm).div_ceil(1_000_000)
+    }
+}
+
+/// Whether a fault is planted; never outside of tests.
+macro_rules! planted {
+    ($terms:expr, $fault:ident) => {{
+        #[cfg(feature = "planted")]
+        let it = $terms.plants($crate::Planted::$fault);
+        #[cfg(not(feature = "planted"))]
+        let it = {
+            let _ = $terms;
+            false
+        };
+        it
+    }};
+}
+pub(crate) use planted;
