A connection that breaks at once is no sign of overload; a crash loop waits for its dead

At fault: doubling for each broken call (failed, Trouble::Broken), as a third of the relays was reset again and again: 28 s means, cut to 20. Ruled out: silence, whose waits are 0.5 to 4 s, and the answers held in the proxy, which came at 10 s. A break within 1 s now waits as a refused connection does; after more, as a 503. Harness: relays of a crash loop ended with status 2, as their own killed process still held the address: it is waited for now.

--- a/crates/lab/src/fleet/relays.rs
+++ b/crates/lab/src/fleet/relays.rs
@@ -71,7 +71,11 @@
 
 async fn crash_loop(warden: Shared, n: usize, every: Duration, until: Instant) {
     while Instant::now() < until {
-        warden.borrow_mut().act("kill", n);
+        // The address is free only once the process is gone.
+        let killed = warden.borrow_mut().kill(n);
+        if let Some(mut child) = killed {
+            let _ = child.wait().await;
+        }
         warden.borrow_mut().act("start", n);
         sleep(every).await;
     }
@@ -92,10 +96,16 @@
             }
             return;
         }
+        if verb == "kill" {
+            // It is gone for all others at once; the system's own book of it is closed in passing.
+            if let Some(mut child) = self.end_at_once(n) {
+                spawn_local(async move { child.wait().await });
+            }
+            return;
+        }
         let Some(running) = self.running.get_mut(&n) else { return };
         let pid = running.child.id().and_then(|id| Pid::from_raw(id as i32));
         let signal = match verb {
-            "kill" => Signal::KILL,
             "stop" => Signal::STOP,
             "cont" => Signal::CONT,
             _ => Signal::TERM,
@@ -103,13 +113,19 @@
         if let Some(pid) = pid {
             let _ = kill_process(pid, signal);
         }
-        running.ends |= matches!(verb, "kill" | "term");
-        if verb == "kill" {
-            // It is gone for all others at once; the system's own book of it is closed in passing.
-            if let Some(mut running) = self.running.remove(&n) {
-                spawn_local(async move { running.child.wait().await });
-            }
-        }
+        running.ends |= verb == "term";
+    }
+
+    /// Kills a relay and hands over its process, which may take a moment to be gone.
+    fn kill(&mut self, n: usize) -> Option<Child> {
+        self.book.enter(Seen::Act { verb: "kill".to_owned(), r: Some(n) });
+        self.end_at_once(n)
+    }
+
+    fn end_at_once(&mut self, n: usize) -> Option<Child> {
+        let mut running = self.running.remove(&n)?;
+        let _ = running.child.start_kill();
+        Some(running.child)
     }
 
     fn spawn(&mut self, n: usize) -> Result<Child, String> {
--- a/crates/listing/src/lib.rs
+++ b/crates/listing/src/lib.rs
@@ -59,6 +59,8 @@
 const PAUSE_SPREAD: Micros = 130_000;
 /// An answer that is late by this makes its relay stay away for as long as it was late.
 const LATE: Micros = 400_000;
+/// A call that breaks sooner than this was not waiting in a queue.
+const QUICK: Micros = 1_000_000;
 /// First mean pause after a failed call to another service; it doubles up to 8 times. That news counts as told 4 s after the
 /// signal, so the usual pauses are not waited for.
 const RENEW_AGAIN: Micros = 200_000;
@@ -292,7 +294,7 @@
 
     /// The call that was out has failed.
     pub fn failed(&mut self, now: Micros, trouble: Trouble) {
-        self.out = None;
+        let took = self.out.take().map_or(0, |(_, since)| now.saturating_sub(since));
         self.failures = self.failures.saturating_add(1);
         let doubled = (self.failures - 1).min(DOUBLINGS);
         if self.renewing {
@@ -303,12 +305,14 @@
         // A service that is down costs nothing and may be back at any time; one that is behind gets more room each time.
         let fleet = many(self.told.relays) * PACE / 5 * 6;
         let (fleet, asked) = match trouble {
+            // One that breaks at once costs it next to nothing either; one that breaks after a wait has waited too long.
             Trouble::Refused => (fleet, None),
-            Trouble::Busy(after) => {
+            Trouble::Broken | Trouble::Senseless if took < QUICK => (fleet, None),
+            Trouble::Broken | Trouble::Senseless | Trouble::Busy(_) => {
                 self.overloads = (self.overloads + 1).min(DOUBLINGS);
+                let after = if let Trouble::Busy(after) = trouble { after } else { None };
                 (fleet << self.overloads.saturating_sub(1), after)
             }
-            Trouble::Broken | Trouble::Senseless => (fleet << doubled.min(2), None),
             // Its patience has kept it away already. What happened meanwhile counts as told: it asks again soon.
             Trouble::Silent => (0, None),
         };
--- a/crates/listing/tests/caller.rs
+++ b/crates/listing/tests/caller.rs
@@ -64,6 +64,7 @@
     near(mean(&[busy; 2]), 14.4);
     near(mean(&[busy; 9]), 20.0);
     near(mean(&[Trouble::Busy(Some(3 * S))]), 10.2);
+    near(mean(&[Trouble::Broken; 5]), 7.2);
     // Its patience has kept it away already.
     near(mean(&[Trouble::Silent]), 0.5);
     near(mean(&[Trouble::Silent; 9]), 4.0);
