--- a/crates/lab/src/fleet/cards.rs
+++ b/crates/lab/src/fleet/cards.rs
@@ -21,8 +21,8 @@
 const LOAD: f64 = 0.4;
 /// What a card server starts with, and how long it takes to have all.
 const COLD_FROM: f64 = 0.32;
-/// See [`COLD_FROM`].
-pub const COLD: u64 = 9_000_000;
+/// See above.
+const COLD: u64 = 9_000_000;
 /// How often a card server enters how it is doing.
 const ENTER: Duration = Duration::from_millis(250);
 /// How long a set-up takes.
