Read once more: addresses of a doubted list in one pass; tests of Retry-After and of the list's figures

The addresses of a list believed in part were looked for one by one, entries squared on the relay's thread; now by a set, and only where something was left out. stats' list and Retry-After (a number of seconds; a date is none) have tests.

--- a/crates/listing/src/lib.rs
+++ b/crates/listing/src/lib.rs
@@ -55,7 +55,9 @@
 const WHOLE_ANSWER: Micros = 6_000_000;
 /// Pause after an answer: well within the 200 ms in which a watch goes on.
 const PAUSE: Micros = 20_000;
-/// Relays that got news together come back within this of each other, still within those 200 ms.
+/// Relays that got news together come back within this for each relay told ...
+const PAUSE_PACE: Micros = 500;
+/// ... and all within this, still within those 200 ms.
 const PAUSE_SPREAD: Micros = 130_000;
 /// An answer that is late by this makes its relay stay away for as long as it was late.
 const LATE: Micros = 400_000;
@@ -269,10 +271,10 @@
             Call::Changes { wait, .. } => (took.saturating_sub(wait), !news && took < wait / 2),
         };
         self.hasty = if hasty { (self.hasty + 1).min(7) } else { 0 };
-        let crowd = many(self.told.relays) * 500;
         let mut pause = PAUSE;
         if self.told.relays > 1 && news {
-            pause += self.rng.random_range(0..=crowd.min(PAUSE_SPREAD));
+            let spread = many(self.told.relays) * PAUSE_PACE;
+            pause += self.rng.random_range(0..=spread.min(PAUSE_SPREAD));
         }
         if self.hasty > 0 {
             pause = PAUSE << self.hasty;
--- a/src/relay/servers/roll.rs
+++ b/src/relay/servers/roll.rs
@@ -1,5 +1,6 @@
 //! The server roll: carries out the calls to discovery that [`Caller`] wants, one at a time, and hands on what it believes.
 
+use std::collections::BTreeSet;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -360,10 +361,14 @@
 
 /// What is believed of an answer.
 fn believed(caller: &mut Caller, now: Micros, news: RollNews) -> RollNews {
+    let told = news.entries.len();
     let answer = Roll { version: news.version, whole: news.whole, entries: news.entries };
     let Roll { version, whole, entries } = caller.heard(now, answer);
     let mut addresses = news.addresses;
-    addresses.retain(|(id, _)| entries.iter().any(|e| e.server == *id));
+    if entries.len() < told {
+        let known: BTreeSet<&ServerId> = entries.iter().map(|entry| &entry.server).collect();
+        addresses.retain(|(id, _)| known.contains(id));
+    }
     RollNews { version, whole, entries, addresses }
 }
 
--- a/tests/admin.rs
+++ b/tests/admin.rs
@@ -69,6 +69,13 @@
         assert_eq!(rest(stands).await, "");
         let end = figures(&relay, |f| f["outstanding"] == 0).await;
         assert_eq!((counts(&end), &end["discovered"]), ([1, 1, 2, 3], &Value::from(1)));
+        // Discovery is down: the list is the one of the configuration.
+        let list = &end["list"];
+        assert_eq!(
+            (&list["state"], &list["answered"]),
+            (&Value::from("failing"), &Value::from(false)),
+            "{list}"
+        );
     });
 }
 
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -123,6 +123,20 @@
     }
 }
 
+#[test]
+fn a_time_to_come_back_is_read_in_seconds() {
+    let retry_after = |told: &str| {
+        let text = format!("HTTP/1.1 503 Busy\r\n{told}Content-Length: 0\r\n\r\n");
+        take_answer(&mut BytesMut::from(&*text)).unwrap().unwrap().retry_after
+    };
+    assert_eq!(retry_after("retry-after: 3\r\n"), Some(3_000_000));
+    assert_eq!(retry_after(&format!("Retry-After: {}\r\n", u64::MAX)), Some(u64::MAX));
+    // A date, and nonsense, are no times.
+    for told in ["", "Retry-After: Tue, 01 Dec 2026 22:00:00 GMT\r\n", "Retry-After: -1\r\n"] {
+        assert_eq!(retry_after(told), None);
+    }
+}
+
 #[test]
 fn a_roll_is_read() {
     let news = read_roll(&serde_json::from_str(ROLL).unwrap(), &Names::default()).unwrap();
