A change that comes late in the first watch is no sign of a slow service

At fault: Caller::heard took all of a first watch's time for lateness where it brought news, and sent the relay away for 1 to 4 s: each relay of the fleet after the first change of its list, just when more came. Nobody can tell how long such news was there; it counts for nothing now.

--- a/crates/listing/src/lib.rs
+++ b/crates/listing/src/lib.rs
@@ -262,12 +262,10 @@
         let Some((call, since)) = self.out.take() else { return answer };
         let took = now.saturating_sub(since);
         let news = !answer.entries.is_empty() || answer.version != self.belief.version();
-        // A list held since an earlier life is old: news of it was there when the first call came.
-        let old = !self.answered;
         (self.failures, self.renewing, self.answered) = (0, false, true);
         let (late, hasty) = match call {
             Call::Whole => (took, !news),
-            Call::Changes { .. } if old && news => (took, false),
+            // When news came while it waited, nobody can tell: that it took long says nothing of the service.
             Call::Changes { wait, .. } => (took.saturating_sub(wait), !news && took < wait / 2),
         };
         self.hasty = if hasty { (self.hasty + 1).min(7) } else { 0 };
--- a/crates/listing/tests/caller.rs
+++ b/crates/listing/tests/caller.rs
@@ -82,6 +82,18 @@
     assert!(quick.due().is_some_and(|due| due <= S / 10 + 150_000), "a watch goes on within 200 ms");
 }
 
+/// Guards against taking a change that came while the first watch waited for a slow service: every relay of a fleet would stay
+/// away for seconds just when its list begins to change.
+#[test]
+fn a_change_that_comes_late_in_a_watch_is_no_slow_answer() {
+    for seed in 0..50 {
+        let mut caller = Caller::new(told(100, seed), &roll(7, true, &["s-1"]), 0);
+        caller.call(S);
+        caller.heard(11 * S, roll(8, false, &["s-2"]));
+        assert!(caller.due().is_some_and(|due| due <= 11 * S + 200_000), "the watch goes on");
+    }
+}
+
 #[test]
 fn another_service_is_asked_for_its_whole_list_within_its_rule_and_believed() {
     let mut caller = following(&roll(41, true, &["s-1", "s-2"]));
