Read once more: one state for another service, one reader of stretches, dead code out

Caller.renewing and Belief.anew said the same and were set and cleared together: the caller asks its belief now. A stretch of numbers was read in three places of the harness (among, stretch, script::set), a signal sent in two, the deck of a first line and the cost of changes reckoned in two: one each. Desk::go_to took an option that was never none; Relay::roll_version and Played.ended had no caller.

--- a/crates/lab/src/asked.rs
+++ b/crates/lab/src/asked.rs
@@ -1,4 +1,4 @@
-//! What both stand-ins of discovery read, and what all card servers say of themselves.
+//! What all stand-ins of discovery and of card servers read, and what card servers say of themselves.
 
 use std::time::Duration;
 
@@ -42,3 +42,13 @@
     let Report { util, latency_ms, x0 } = report;
     format!("PONG util={util:.3},latency_ms={latency_ms:.1},x0={x0:.3}\r\n")
 }
+
+/// A figure of a session's first line.
+pub fn figure<'a>(figures: &'a str, name: &str) -> Option<&'a str> {
+    figures.split(',').filter_map(|pair| pair.split_once('=')).find(|(n, _)| *n == name).map(|(_, v)| v)
+}
+
+/// The deck that a session's first line names; 0 where it names none.
+pub fn deck(figures: &str) -> u64 {
+    figure(figures, "g").and_then(|g| u64::from_str_radix(g, 16).ok()).unwrap_or(0)
+}
--- a/crates/lab/src/fleet/cards.rs
+++ b/crates/lab/src/fleet/cards.rs
@@ -12,7 +12,7 @@
 
 use super::Plan;
 use super::book::{Book, Seen};
-use crate::asked::probed;
+use crate::asked::{deck, probed};
 use crate::model::{CardModel, Held, Make, Opened};
 
 /// Usual sessions that fill a card server at the least; more where the clients are many.
@@ -166,8 +166,7 @@
     }
     seat.out = Some(id.to_owned());
     sleep(SETUP).await;
-    let deck = figures.split(',').find_map(|f| f.strip_prefix("g="));
-    let deck = deck.and_then(|g| u64::from_str_radix(g, 16).ok()).unwrap_or(0);
+    let deck = deck(figures);
     let opened = {
         let mut card = card.borrow_mut();
         card.sessions += 1;
--- a/crates/lab/src/fleet/list.rs
+++ b/crates/lab/src/fleet/list.rs
@@ -21,7 +21,12 @@
 /// ... which takes this many microseconds.
 const TURNED_AWAY: u64 = 200;
 /// A watch costs this part of a whole list at its beginning, and again at its end without news.
-pub const SMALL: f64 = 0.05;
+const SMALL: f64 = 0.05;
+
+/// What telling so many changes costs, as a part of a whole list of so many card servers.
+pub fn changes(new: usize, cards: usize) -> f64 {
+    (2.0 * SMALL + new as f64 / cards.max(1) as f64).min(1.0)
+}
 
 /// A card server as the list has it.
 #[derive(Clone, Debug)]
@@ -182,7 +187,7 @@
             let new = service.entries.values().filter(|e| e.changed > call.since).count();
             let part = match call.asked {
                 Asked::Whole => 1.0,
-                Asked::Changes => (2.0 * SMALL + new as f64 / service.plan.cards.max(1) as f64).min(1.0),
+                Asked::Changes => changes(new, service.plan.cards),
                 Asked::Quiet => SMALL,
             };
             let work = if late { TURNED_AWAY } else { (service.call_us as f64 * part) as u64 };
@@ -220,15 +225,12 @@
     while let Some(Query { since, wait }) = query(&mut stream).await {
         let gone = Rc::new(Cell::new(false));
         let ask = async {
-            let Some(since) = since else {
-                return queued(&service, &wake, relay, (Asked::Whole, true), 0, &gone).await;
-            };
             let mut version = service.borrow().version.subscribe();
-            if *version.borrow() < since {
-                // A version that it never had: it started anew and can tell no changes from there.
+            // From a version that it never had it can tell no changes: it started anew.
+            let Some(since) = since.filter(|since| *since <= *version.borrow()) else {
                 return queued(&service, &wake, relay, (Asked::Whole, true), 0, &gone).await;
-            }
-            let waits = *version.borrow() <= since;
+            };
+            let waits = *version.borrow() == since;
             if waits {
                 // Taking the watch down is work as well.
                 queued(&service, &wake, relay, (Asked::Quiet, true), since, &gone).await?;
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -24,13 +24,16 @@
 
 use std::future::Future;
 use std::net::{Ipv4Addr, SocketAddr};
+use std::ops::RangeInclusive;
 use std::path::PathBuf;
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
+use rustix::process::{Pid, Signal, kill_process};
 use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncBufReadExt, BufReader, Lines, Stdin};
+use tokio::process::Child;
 use tokio::signal::unix::{SignalKind, signal};
 
 /// Relays, card servers and groups of links at the most: the addresses hold no more.
@@ -181,19 +184,23 @@
     Cards(usize, usize),
 }
 
-/// A stretch of numbers, such as `*`, `7` or `0-99`.
+/// A stretch of numbers, `7` or `0-99`, if it is well written.
+fn stretch(text: &str) -> Option<RangeInclusive<usize>> {
+    let (from, to) = text.split_once('-').unwrap_or((text, text));
+    let both = from.parse().ok().zip(to.parse().ok()).filter(|(from, to)| from <= to);
+    both.map(|(from, to)| from..=to)
+}
+
+/// Whether a pattern, `*` or a stretch, means a number.
 fn among(pattern: &str, n: usize) -> bool {
-    if pattern == "*" {
-        return true;
-    }
-    let (from, to) = pattern.split_once('-').unwrap_or((pattern, pattern));
-    matches!((from.parse::<usize>(), to.parse::<usize>()), (Ok(from), Ok(to)) if (from..=to).contains(&n))
+    pattern == "*" || stretch(pattern).is_some_and(|stretch| stretch.contains(&n))
 }
 
-/// Whether a stretch of numbers is well written.
-fn stretch(pattern: &str) -> bool {
-    let (from, to) = pattern.split_once('-').unwrap_or((pattern, pattern));
-    pattern == "*" || matches!((from.parse::<usize>(), to.parse::<usize>()), (Ok(from), Ok(to)) if from <= to)
+/// Sends a signal to a process, unless it is gone.
+fn send(child: &Child, signal: Signal) {
+    if let Some(pid) = child.id().and_then(|id| Pid::from_raw(id as i32)) {
+        let _ = kill_process(pid, signal);
+    }
 }
 
 impl Link {
@@ -210,10 +217,11 @@
 
 /// The kind of links that a pattern means, if it is well written.
 pub fn link_kind(pattern: &str) -> Option<&str> {
+    let sound = |text: &str| text == "*" || stretch(text).is_some();
     let words: Vec<&str> = pattern.split('/').collect();
     match &words[..] {
-        [kind @ ("list" | "front"), p] if stretch(p) => Some(kind),
-        [kind @ "cards", group, card] if stretch(group) && stretch(card) => Some(kind),
+        [kind @ ("list" | "front"), p] if sound(p) => Some(kind),
+        [kind @ "cards", group, card] if sound(group) && sound(card) => Some(kind),
         _ => None,
     }
 }
--- a/crates/lab/src/fleet/relays.rs
+++ b/crates/lab/src/fleet/relays.rs
@@ -7,14 +7,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::Signal;
 use serde_json::json;
 use tokio::process::{Child, Command};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
 
 use super::book::{Book, Seen};
-use super::{Plan, list};
+use super::{Plan, list, send};
 use crate::world::relays::settings;
 
 /// How often it is looked whether a relay has ended by itself.
@@ -86,6 +86,13 @@
         if n >= self.plan.relays {
             return;
         }
+        if verb == "kill" {
+            // It is gone for all others at once; the system's own book of it is closed in passing.
+            if let Some(mut child) = self.kill(n) {
+                spawn_local(async move { child.wait().await });
+            }
+            return;
+        }
         self.book.enter(Seen::Act { verb: verb.to_owned(), r: Some(n) });
         if verb == "start" {
             if !self.running.contains_key(&n) {
@@ -96,33 +103,19 @@
             }
             return;
         }
-        if verb == "kill" {
-            // It is gone for all others at once; the system's own book of it is closed in passing.
-            if let Some(mut child) = self.end_at_once(n) {
-                spawn_local(async move { child.wait().await });
-            }
-            return;
-        }
         let Some(running) = self.running.get_mut(&n) else { return };
-        let pid = running.child.id().and_then(|id| Pid::from_raw(id as i32));
         let signal = match verb {
             "stop" => Signal::STOP,
             "cont" => Signal::CONT,
             _ => Signal::TERM,
         };
-        if let Some(pid) = pid {
-            let _ = kill_process(pid, signal);
-        }
+        send(&running.child, signal);
         running.ends |= verb == "term";
     }
 
     /// Kills a relay and hands over its process, which may take a moment to be gone.
     fn kill(&mut self, n: usize) -> Option<Child> {
         self.book.enter(Seen::Act { verb: "kill".to_owned(), r: Some(n) });
-        self.end_at_once(n)
-    }
-
-    fn end_at_once(&mut self, n: usize) -> Option<Child> {
         let mut running = self.running.remove(&n)?;
         let _ = running.child.start_kill();
         Some(running.child)
--- a/crates/lab/src/fleet/report.rs
+++ b/crates/lab/src/fleet/report.rs
@@ -112,7 +112,7 @@
         return 1.0;
     }
     let new = (0..plan.cards).filter(|s| list::lacks(plan.held, *s)).count();
-    (2.0 * list::SMALL + new as f64 / plan.cards.max(1) as f64).min(1.0)
+    list::changes(new, plan.cards)
 }
 
 fn worst_second(times: &BTreeMap<usize, Vec<u64>>) -> u64 {
--- a/crates/lab/src/fleet/run.rs
+++ b/crates/lab/src/fleet/run.rs
@@ -9,14 +9,14 @@
 
 use rand::Rng;
 use rand::seq::SliceRandom;
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::Signal;
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
 use tokio::process::{Child, ChildStdin, Command};
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use super::book::{Book, Line, Seen, read};
 use super::script::{Script, Set, Step};
-use super::{MOST_CARDS, MOST_RELAYS, Plan};
+use super::{MOST_CARDS, MOST_RELAYS, Plan, send};
 
 /// Processes that the card servers are spread over.
 pub const CARD_PARTS: usize = 3;
@@ -58,9 +58,7 @@
     }
 
     fn signal(&self, signal: Signal) {
-        if let Some(pid) = self.child.id().and_then(|id| Pid::from_raw(id as i32)) {
-            let _ = kill_process(pid, signal);
-        }
+        send(&self.child, signal);
     }
 
     async fn end(mut self) {
@@ -109,13 +107,11 @@
     }
 }
 
-/// A day that was played: when it began and ended, and all books.
+/// A day that was played: when it began, and all books up to its end.
 pub struct Played {
     /// Unix microseconds.
     pub began: u64,
-    /// Unix microseconds; what came later is the end of all processes.
-    pub ended: u64,
-    /// The lines of all books.
+    /// The lines of all books. What came later is the end of all processes.
     pub lines: Vec<Line>,
 }
 
@@ -163,7 +159,7 @@
     done?;
     let mut lines = read(&folder)?;
     lines.retain(|line| line.t <= ended);
-    Ok(Played { began, ended, lines })
+    Ok(Played { began, lines })
 }
 
 impl Fleet {
@@ -181,7 +177,7 @@
         let all = 0..self.plan.relays;
         match set {
             Set::All => all.collect(),
-            Set::Among(from, to) => all.filter(|r| (from..=to).contains(&r)).collect(),
+            Set::Among(stretch) => all.filter(|r| stretch.contains(r)).collect(),
             Set::Dead => all.filter(|r| !self.up.contains(r)).collect(),
             Set::Part(part) => {
                 let mut all: Vec<usize> = all.collect();
--- a/crates/lab/src/fleet/script.rs
+++ b/crates/lab/src/fleet/script.rs
@@ -14,12 +14,13 @@
 //! at 2s link list/0-99 hole           # cards/GROUP/CARD, front/RELAY; the faults are in `links`
 //! ```
 
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use honeyknot_conf::{Directive, parse, units};
 
-use super::link_kind;
 use super::links::Fault;
+use super::{link_kind, stretch};
 
 /// The longest day.
 pub const LONGEST: Duration = Duration::from_secs(600);
@@ -30,7 +31,7 @@
     /// All.
     All,
     /// These numbers.
-    Among(usize, usize),
+    Among(RangeInclusive<usize>),
     /// This part of all, drawn from the day's seed.
     Part(f64),
     /// Those that do not run.
@@ -76,7 +77,6 @@
 }
 
 fn set(text: &str) -> Result<Set, String> {
-    let number = |text: &str| text.parse::<usize>().ok();
     let found = match text {
         "*" => Some(Set::All),
         "dead" => Some(Set::Dead),
@@ -84,11 +84,7 @@
             let part = text.trim_end_matches('%').parse::<f64>().ok();
             part.filter(|part| (0.0..=100.0).contains(part)).map(|part| Set::Part(part / 100.0))
         }
-        _ => {
-            let (from, to) = text.split_once('-').unwrap_or((text, text));
-            let both = number(from).zip(number(to)).filter(|(from, to)| from <= to);
-            both.map(|(from, to)| Set::Among(from, to))
-        }
+        _ => stretch(text).map(Set::Among),
     };
     found.ok_or_else(|| {
         format!("{text}: relays are `*`, `dead`, a number, a stretch such as 0-9, or a part such as 30%")
--- a/crates/lab/src/world/cards.rs
+++ b/crates/lab/src/world/cards.rs
@@ -9,7 +9,7 @@
 use tokio::time::sleep;
 
 use super::{Life, Shared};
-use crate::asked::probed;
+use crate::asked::{deck, figure, probed};
 use crate::model::{Held, Micros, Opened};
 
 /// Nothing new may be sent to a card server later than this after the news of its drain: the rule's 500 ms and the
@@ -144,10 +144,6 @@
     }
 }
 
-fn figure<'a>(figures: &'a str, name: &str) -> Option<&'a str> {
-    figures.split(',').filter_map(|pair| pair.split_once('=')).find(|(n, _)| *n == name).map(|(_, v)| v)
-}
-
 async fn session(
     world: &Shared, server: usize, relay: usize, stream: &mut BufReader<TcpStream>, seat: &mut Seat,
     id: &str, figures: &str,
@@ -156,7 +152,7 @@
     seat.request = Some(id.to_owned());
     sleep(SETUP).await;
     let load: f64 = figure(figures, "w").and_then(|w| w.parse().ok()).unwrap_or(1.0);
-    let deck = figure(figures, "g").and_then(|g| u64::from_str_radix(g, 16).ok()).unwrap_or(0);
+    let deck = deck(figures);
     let (opened, number, mut drains) = {
         let mut world = world.borrow_mut();
         let (now, number, from) = (world.now(), world.next_session(), world.front.site_of(relay));
--- a/crates/listing/src/belief.rs
+++ b/crates/listing/src/belief.rs
@@ -43,7 +43,7 @@
     version: u64,
     held: BTreeMap<ServerId, (ServerState, Micros)>,
     doubt: Option<Doubt>,
-    /// Another service numbers its lists anew.
+    /// Another service, which numbers its lists anew, has not answered yet.
     anew: bool,
 }
 
@@ -71,6 +71,10 @@
         self.doubt.as_ref().map(|doubt| doubt.check_at)
     }
 
+    pub fn anew(&self) -> bool {
+        self.anew
+    }
+
     pub fn renew(&mut self) {
         (self.anew, self.doubt) = (true, None);
     }
--- a/crates/listing/src/lib.rs
+++ b/crates/listing/src/lib.rs
@@ -159,8 +159,6 @@
     out: Option<(Call, Micros)>,
     /// The whole list is wanted, whatever is held.
     whole: bool,
-    /// Another service has not answered yet.
-    renewing: bool,
     failures: u32,
     overloads: u32,
     /// Answers in a row that came at once and told nothing.
@@ -188,7 +186,6 @@
             due: Some(due),
             out: None,
             whole: false,
-            renewing: false,
             failures: 0,
             overloads: 0,
             hasty: 0,
@@ -223,7 +220,7 @@
 
     /// From now on the list comes from another service, which tells its own: the whole of it, soon.
     pub fn renew(&mut self, now: Micros) {
-        (self.renewing, self.out) = (true, None);
+        self.out = None;
         (self.failures, self.overloads, self.hasty) = (0, 0, 0);
         self.belief.renew();
         let spread = match self.told.relays {
@@ -236,7 +233,7 @@
     /// Takes the call that is due, and how long its answer is waited for. It is out until [`heard`](Self::heard) or
     /// [`failed`](Self::failed).
     pub fn call(&mut self, now: Micros) -> (Call, Micros) {
-        let whole = std::mem::take(&mut self.whole) || self.renewing || self.belief.wants_whole(now);
+        let whole = std::mem::take(&mut self.whole) || self.belief.anew() || self.belief.wants_whole(now);
         let call = match whole {
             true => Call::Whole,
             false => Call::Changes { since: self.belief.version(), wait: self.watch_wait(now) },
@@ -262,7 +259,7 @@
         let Some((call, since)) = self.out.take() else { return answer };
         let took = now.saturating_sub(since);
         let news = !answer.entries.is_empty() || answer.version != self.belief.version();
-        (self.failures, self.renewing, self.answered) = (0, false, true);
+        (self.failures, self.answered) = (0, true);
         let (late, hasty) = match call {
             Call::Whole => (took, !news),
             // When news came while it waited, nobody can tell: that it took long says nothing of the service.
@@ -297,7 +294,7 @@
         let took = self.out.take().map_or(0, |(_, since)| now.saturating_sub(since));
         self.failures = self.failures.saturating_add(1);
         let doubled = (self.failures - 1).min(DOUBLINGS);
-        if self.renewing {
+        if self.belief.anew() {
             let mean = RENEW_AGAIN << doubled;
             self.due = Some(now + self.rng.random_range(mean / 2..=mean / 2 * 3));
             return;
--- a/src/relay/servers/held.rs
+++ b/src/relay/servers/held.rs
@@ -136,11 +136,6 @@
         by_roll.map(|id| id.0.as_ref().to_owned()).collect()
     }
 
-    /// The version of the roll that is held.
-    pub fn roll_version(&self) -> u64 {
-        self.version
-    }
-
     /// Where this relay reaches a card server.
     pub fn address(&self, server: &ServerId) -> Option<SocketAddr> {
         self.addresses.get(server).copied()
--- a/src/relay/servers/roll.rs
+++ b/src/relay/servers/roll.rs
@@ -128,11 +128,9 @@
         Desk { at, line: None, timers: timers.clone() }
     }
 
-    /// Leaves the old address for a new one, if there is one.
-    fn go_to(&mut self, at: Option<SocketAddr>) {
-        if let Some(at) = at {
-            (self.at, self.line) = (at, None);
-        }
+    /// Leaves the old address for a new one.
+    fn go_to(&mut self, at: SocketAddr) {
+        (self.at, self.line) = (at, None);
     }
 
     /// One call, by the connection that stands or else a new one.
@@ -318,7 +316,7 @@
             ask = asks.recv() => {
                 let Some(ask) = ask else { return };
                 if let Some(at) = wants.note(ask) {
-                    desk.go_to(Some(at));
+                    desk.go_to(at);
                     caller.renew(timers.clock.now());
                 }
                 continue;
@@ -351,7 +349,7 @@
                 relay.borrow_mut().roll_failed(&failure);
             }
             Err(None) => return,
-            Err(at) => {
+            Err(Some(at)) => {
                 desk.go_to(at);
                 caller.renew(timers.clock.now());
             }
