Keepers agree on the lease book: the raft engine in a pure room, and a relay's claims

All asks since the last write share an entry. crates/leases: Claims (what a relay asks, whom, when again; all its tasks in one ask), Turnstile (when a refused claimant may come: the keepers' cost of a task does not grow with the relays that want it), names and leases bounded, tokens from a floor.

Not taken: counting acknowledged renewals in the book, where a count in the ask does.

--- a/crates/leases/src/book.rs
+++ b/crates/leases/src/book.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeMap;
 
+use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
 use crate::{Terms, planted};
@@ -11,13 +12,20 @@
 pub const MOST_TASKS: usize = 4_096;
 /// Slots of a counted lease at the most.
 pub const MOST_SLOTS: u32 = 1_024;
+/// Leases of all tasks together at the most.
+pub const MOST_LEASES: usize = 16_384;
+/// Bytes of a task's or holder's name at the most.
+pub const MOST_NAME: usize = 128;
+
+/// Asks in a row without an answer, after which a holder has to hear one first.
+pub const MOST_UNHEARD: u32 = 4;
 
 /// A fencing token. Of a task's grants, a later one has a greater token, for ever.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Token(pub u64);
 
 /// A slot of a task that somebody holds.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Lease {
     /// Who.
     pub holder: String,
@@ -29,14 +37,14 @@
     pub renewals: u64,
 }
 
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 struct Task {
     last_token: u64,
     leases: Vec<Lease>,
 }
 
 /// A change of the book.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Command {
     /// Somebody wants a slot of a task that has so many.
     Acquire {
@@ -48,6 +56,8 @@
         holder: String,
         /// New with each request of a holder; the same when it is sent again.
         nonce: u64,
+        /// Asks in a row that it has heard no answer to.
+        unheard: u32,
     },
     /// A holder goes on.
     Renew {
@@ -55,6 +65,8 @@
         task: String,
         /// Its token.
         token: Token,
+        /// Asks in a row that it has heard no answer to.
+        unheard: u32,
     },
     /// A holder is done, and has ended its last act.
     Release {
@@ -74,8 +86,19 @@
     },
 }
 
+impl Command {
+    /// The task that it is about.
+    pub fn task(&self) -> &str {
+        let (Command::Acquire { task, .. }
+        | Command::Renew { task, .. }
+        | Command::Release { task, .. }
+        | Command::Expire { task, .. }) = self;
+        task
+    }
+}
+
 /// What became of a command.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Answer {
     /// The slot is held, by this token.
     Held(Token),
@@ -86,7 +109,7 @@
 }
 
 /// Why a command changed nothing.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error, Serialize, Deserialize)]
 pub enum Refusal {
     /// Others hold all slots.
     #[error("all slots of the task are held")]
@@ -97,26 +120,43 @@
     /// It was renewed meanwhile.
     #[error("the lease was renewed meanwhile")]
     Renewed,
+    /// Who asks has not heard for long: first it has to hear this.
+    #[error("too many asks in a row went without an answer that was heard; ask again")]
+    Unheard,
     /// The book is full.
-    #[error("the book holds {MOST_TASKS} tasks already")]
+    #[error("the book holds {MOST_TASKS} tasks or {MOST_LEASES} leases already")]
     Full,
+    /// A name is empty or too long.
+    #[error("names have 1 to {MOST_NAME} bytes")]
+    Name,
     /// The task has none, or more than a book can hold.
     #[error("a task has 1 to {MOST_SLOTS} slots")]
     Slots,
 }
 
 /// The book.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Book {
+    tokens_from: u64,
+    held: usize,
     tasks: BTreeMap<String, Task>,
 }
 
 impl Book {
+    /// An empty book whose tokens rise from here: of a fleet that has lost its keepers, above all that were ever given.
+    pub fn founded(tokens_from: u64) -> Book {
+        Book { tokens_from, ..Book::default() }
+    }
+
     /// Applies a command. The terms change nothing of what it does but for faults planted by tests.
     pub fn apply(&mut self, terms: &Terms, command: &Command) -> Answer {
         match command {
-            Command::Acquire { task, slots, holder, nonce } => self.acquire(task, *slots, holder, *nonce),
-            Command::Renew { task, token } => match self.lease(task, *token) {
+            // Guards against a holder that the keepers hear and that hears nothing: it would keep a task that it cannot act on.
+            Command::Acquire { unheard, .. } | Command::Renew { unheard, .. } if *unheard > MOST_UNHEARD => {
+                Answer::No(Refusal::Unheard)
+            }
+            Command::Acquire { task, slots, holder, nonce, .. } => self.acquire(task, *slots, holder, *nonce),
+            Command::Renew { task, token, .. } => match self.lease(task, *token) {
                 Some(lease) => {
                     lease.renewals += 1;
                     Answer::Held(*token)
@@ -127,7 +167,9 @@
                 let Some(task) = self.tasks.get_mut(task) else { return Answer::No(Refusal::Ended) };
                 let before = task.leases.len();
                 task.leases.retain(|lease| lease.token != *token && !planted!(terms, OldRelease));
-                if task.leases.len() < before { Answer::Free } else { Answer::No(Refusal::Ended) }
+                let freed = before - task.leases.len();
+                self.held -= freed;
+                if freed > 0 { Answer::Free } else { Answer::No(Refusal::Ended) }
             }
             Command::Expire { task, token, renewals } => {
                 let renewed = match self.lease(task, *token) {
@@ -139,6 +181,7 @@
                 }
                 if let Some(task) = self.tasks.get_mut(task) {
                     task.leases.retain(|lease| lease.token != *token);
+                    self.held -= 1;
                 }
                 Answer::Free
             }
@@ -149,10 +192,14 @@
         if !(1..=MOST_SLOTS).contains(&slots) {
             return Answer::No(Refusal::Slots);
         }
+        if [name, holder].iter().any(|name| !(1..=MOST_NAME).contains(&name.len())) {
+            return Answer::No(Refusal::Name);
+        }
         if !self.tasks.contains_key(name) && self.tasks.len() >= MOST_TASKS {
             return Answer::No(Refusal::Full);
         }
-        let task = self.tasks.entry(name.to_owned()).or_default();
+        let founded = Task { last_token: self.tokens_from, leases: Vec::new() };
+        let task = self.tasks.entry(name.to_owned()).or_insert(founded);
         // The answer to the first telling was lost: it is told again, and the lease is renewed by that, as its holder counts
         // from when it asked last. A holder has one slot of a task.
         if let Some(own) = task.leases.iter_mut().find(|lease| lease.holder == holder) {
@@ -165,6 +212,10 @@
         if task.leases.len() >= slots as usize {
             return Answer::No(Refusal::Taken);
         }
+        if self.held >= MOST_LEASES {
+            return Answer::No(Refusal::Full);
+        }
+        self.held += 1;
         task.last_token += 1;
         let token = Token(task.last_token);
         task.leases.push(Lease { holder: holder.to_owned(), nonce, token, renewals: 0 });
@@ -175,6 +226,11 @@
         self.tasks.get_mut(task)?.leases.iter_mut().find(|lease| lease.token == token)
     }
 
+    /// The leases of one task, in no order.
+    pub fn leases_of(&self, task: &str) -> &[Lease] {
+        self.tasks.get(task).map_or(&[], |task| &task.leases)
+    }
+
     /// All leases, by task and token.
     pub fn leases(&self) -> impl Iterator<Item = (&str, &Lease)> {
         self.tasks.iter().flat_map(|(name, task)| task.leases.iter().map(move |lease| (name.as_str(), lease)))
@@ -184,6 +240,7 @@
     pub fn taken_up(&mut self, terms: &Terms) {
         for task in self.tasks.values_mut() {
             if planted!(terms, ForgetsLeases) {
+                self.held -= task.leases.len();
                 task.leases.clear();
             }
             if planted!(terms, TokenFromMemory) {
--- /dev/null
+++ b/crates/leases/src/claims.rs
@@ -0,0 +1,344 @@
+//! All claims of one relay: what it asks its keepers now, whom, and when it asks again. One ask is out at a time, with
+//! everything in it that is due, so that a relay's cost at the keepers does not grow with its tasks.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use serde::{Deserialize, Serialize};
+
+use crate::{Answer, Asked, Command, Holder, Micros, NotNow, Permit, Refusal, Terms, Token};
+
+/// How a relay wants a task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Wish {
+    /// How many may hold it at once.
+    pub slots: u32,
+    /// Held for this long, it is let go for others.
+    pub turn: Option<Micros>,
+    /// Held without an act for this long, it is let go: this relay makes no headway.
+    pub headway: Option<Micros>,
+}
+
+/// What the keepers said to one command.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Said {
+    /// The answer.
+    pub answer: Answer,
+    /// For a slot that is taken: come again after this.
+    pub again: Micros,
+}
+
+/// An ask to send.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Sending {
+    /// To which keeper, from 1.
+    pub keeper: u64,
+    /// Given back with the answer.
+    pub id: u64,
+    /// All that is due.
+    pub commands: Vec<Command>,
+}
+
+struct Claim {
+    wish: Wish,
+    holder: Holder,
+    nonce: u64,
+    /// No command about it before this.
+    due: Micros,
+    /// Since when it is held, and when its last act began.
+    since: Option<(Micros, Micros)>,
+    /// Let go, and not told yet.
+    freeing: Option<Token>,
+    /// Wanted no more.
+    leaves: bool,
+}
+
+struct Flight {
+    id: u64,
+    asked: Asked,
+    until: Micros,
+    commands: Vec<Command>,
+}
+
+/// Asks given up that are remembered.
+const MOST_GIVEN_UP: usize = 8;
+
+/// The claims of one process of a relay.
+pub struct Claims {
+    terms: Terms,
+    /// New with each process: an old one that still runs is another holder.
+    name: String,
+    keepers: u64,
+    keeper: u64,
+    rng: Pcg64Mcg,
+    tasks: BTreeMap<String, Claim>,
+    flight: Option<Flight>,
+    /// Asks that were given up: their answers may still come, and count by when they were asked.
+    given_up: VecDeque<Flight>,
+    next_id: u64,
+    /// Asks in a row that came to nothing.
+    failures: u32,
+    /// Asks in a row that no keeper which leads has answered.
+    unheard: u32,
+    rest: Micros,
+}
+
+impl Claims {
+    /// Claims under this name, which no other process has, at keepers 1 to `keepers`.
+    pub fn new(terms: Terms, name: &str, keepers: u64, seed: u64) -> Claims {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let keeper = rng.random_range(1..=keepers.max(1));
+        Claims {
+            terms,
+            name: name.to_owned(),
+            keepers,
+            keeper,
+            rng,
+            tasks: BTreeMap::new(),
+            flight: None,
+            given_up: VecDeque::new(),
+            next_id: 0,
+            failures: 0,
+            unheard: 0,
+            rest: 0,
+        }
+    }
+
+    /// Wants a task from now on.
+    pub fn want(&mut self, now: Micros, task: &str, wish: Wish) {
+        let holder = Holder::new(self.terms);
+        let claim = Claim { wish, holder, nonce: 1, due: now, since: None, freeing: None, leaves: false };
+        self.tasks.entry(task.to_owned()).or_insert(claim).leaves = false;
+    }
+
+    /// Wants nothing any more: what is held is let go as soon as no act is under way. Done once [`Claims::idle`].
+    pub fn leave(&mut self, now: Micros) {
+        for claim in self.tasks.values_mut() {
+            claim.leaves = true;
+            claim.due = now;
+        }
+        self.rest = now;
+    }
+
+    /// Nothing is held, and the keepers know.
+    pub fn idle(&self) -> bool {
+        self.tasks.values().all(|claim| claim.leaves && claim.freeing.is_none() && claim.since.is_none())
+    }
+
+    /// The right to one act that takes `longest` at the most.
+    pub fn permit(&mut self, now: Micros, task: &str, longest: Micros) -> Result<Permit, NotNow> {
+        let claim = self.tasks.get_mut(task).ok_or(NotNow::NotHeld)?;
+        if claim.leaves {
+            return Err(NotNow::NotHeld);
+        }
+        let permit = claim.holder.permit(now, longest)?;
+        if let Some((_, last)) = &mut claim.since {
+            *last = now;
+        }
+        Ok(permit)
+    }
+
+    /// The token by which a task is held.
+    pub fn holds(&self, now: Micros, task: &str) -> Option<Token> {
+        self.tasks.get(task)?.holder.holds(now)
+    }
+
+    /// When [`Claims::ask`] is worth calling next.
+    pub fn next(&self) -> Micros {
+        if let Some(flight) = &self.flight {
+            return flight.until;
+        }
+        let due = self.tasks.values().filter(|claim| !claim.rests()).map(|claim| claim.due);
+        due.min().unwrap_or(Micros::MAX).max(self.rest)
+    }
+
+    /// What is to be sent now, if anything.
+    pub fn ask(&mut self, now: Micros) -> Option<Sending> {
+        if self.flight.as_ref().is_some_and(|flight| now >= flight.until) {
+            self.unheard += 1;
+            self.failed(now);
+        }
+        if self.flight.is_some() || now < self.rest {
+            return None;
+        }
+        let mut commands = Vec::new();
+        let soon = now + self.terms.lease / 8;
+        // What is due soon goes along, if there is a reason to ask at all.
+        let due = self.tasks.values().any(|claim| !claim.rests() && claim.due <= now);
+        for (task, claim) in
+            self.tasks.iter_mut().filter(|(_, claim)| due && !claim.rests() && claim.due <= soon)
+        {
+            commands.extend(claim.command(now, task, &self.name, self.unheard));
+        }
+        if commands.is_empty() {
+            return None;
+        }
+        self.next_id += 1;
+        // Long enough for an election in between, short enough for another try within the lease.
+        let until = now + self.terms.lease / 4;
+        self.flight =
+            Some(Flight { id: self.next_id, asked: Holder::asks(now), until, commands: commands.clone() });
+        Some(Sending { keeper: self.keeper, id: self.next_id, commands })
+    }
+
+    /// The answers to an ask, one for each command.
+    pub fn told(&mut self, now: Micros, id: u64, said: &[Said]) {
+        let late = self.given_up.iter().position(|flight| flight.id == id);
+        let flight = match late {
+            Some(place) => self.given_up.remove(place),
+            None => self.flight.take_if(|flight| flight.id == id),
+        };
+        let Some(flight) = flight.filter(|flight| flight.commands.len() == said.len()) else { return };
+        (self.failures, self.unheard) = (0, 0);
+        for (command, said) in flight.commands.iter().zip(said) {
+            let Some(claim) = self.tasks.get_mut(command.task()) else { continue };
+            match (command, said.answer) {
+                (Command::Release { token, .. }, _) => claim.freed(now, *token, &self.terms),
+                (_, Answer::Held(token)) => {
+                    let third = self.terms.lease / 3;
+                    let renew = now + self.rng.random_range(third * 3 / 4..=third);
+                    let look = now + self.terms.lease / 64;
+                    claim.granted(flight.asked, now, token, if claim.leaves { look } else { renew });
+                }
+                (Command::Renew { token, .. }, Answer::No(Refusal::Ended)) => claim.lost(now, *token),
+                (_, Answer::No(Refusal::Unheard)) => claim.due = now,
+                // An answer that came late takes nothing from what was granted since.
+                _ if claim.holder.holds(now).is_some() => {}
+                (_, Answer::No(Refusal::Taken)) => claim.due = now + said.again.max(self.terms.lease / 8),
+                // Neither time nor another try will help soon.
+                _ => claim.due = now + 8 * self.terms.lease,
+            }
+        }
+    }
+
+    /// The keeper asked does not lead. Who does, if it knows.
+    pub fn elsewhere(&mut self, now: Micros, id: u64, leader: Option<u64>) {
+        let Some(flight) = self.flight.take_if(|flight| flight.id == id) else { return };
+        match leader.filter(|leader| (1..=self.keepers).contains(leader) && *leader != self.keeper) {
+            // Once at once; keepers that send it round in a circle are failures.
+            Some(leader) if self.failures == 0 => {
+                (self.keeper, self.failures) = (leader, 1);
+                self.rest = now;
+            }
+            other => {
+                self.flight = Some(flight);
+                self.failed(now);
+                self.keeper = other.unwrap_or(self.keeper);
+            }
+        }
+    }
+
+    /// The keeper has too much to do.
+    pub fn busy(&mut self, now: Micros, id: u64) {
+        if self.flight.as_ref().is_some_and(|flight| flight.id == id) {
+            let keeper = self.keeper;
+            self.failed(now);
+            self.keeper = keeper;
+        }
+    }
+
+    /// The keeper cannot be reached, or the connection to it has ended.
+    pub fn cut(&mut self, now: Micros, id: u64) {
+        if self.flight.as_ref().is_some_and(|flight| flight.id == id) {
+            self.unheard += 1;
+            self.failed(now);
+        }
+    }
+
+    /// The ask came to nothing: another keeper, after a pause that is drawn up to a doubled bound.
+    fn failed(&mut self, now: Micros) {
+        if let Some(flight) = self.flight.take() {
+            self.given_up.push_front(flight);
+            self.given_up.truncate(MOST_GIVEN_UP);
+        }
+        self.failures = (self.failures + 1).min(16);
+        self.keeper = self.keeper % self.keepers.max(1) + 1;
+        let bound = (self.terms.lease / 32).saturating_mul(1 << self.failures.min(8)).min(self.terms.lease);
+        let holds = self.tasks.values().any(|claim| claim.holder.holds(now).is_some());
+        // Who holds something has a lease to lose.
+        let bound = if holds { bound.min(self.terms.lease / 8) } else { bound };
+        self.rest = now + self.rng.random_range(0..=bound);
+    }
+}
+
+impl Claim {
+    /// Nothing is wanted, held or to be told.
+    fn rests(&self) -> bool {
+        self.leaves && self.freeing.is_none() && self.since.is_none()
+    }
+
+    /// What to ask about this task now.
+    fn command(&mut self, now: Micros, task: &str, name: &str, unheard: u32) -> Option<Command> {
+        let task = task.to_owned();
+        if self.since.is_some() && self.ends(now) {
+            match self.holder.release() {
+                Ok(token) => self.freeing = Some(token),
+                // The act ends first; its lease is renewed meanwhile.
+                Err(NotNow::Acting) => {}
+                Err(_) => self.since = None,
+            }
+        }
+        if let Some(token) = self.freeing {
+            return Some(Command::Release { task, token });
+        }
+        if let Some(token) = self.holder.holds(now) {
+            return Some(Command::Renew { task, token, unheard });
+        }
+        if self.leaves {
+            // It ran out by itself.
+            self.since = None;
+            return None;
+        }
+        // Held once and not renewed in time: perhaps it still stands at the keepers, and the same request renews it.
+        self.since = None;
+        Some(Command::Acquire {
+            task,
+            slots: self.wish.slots,
+            holder: name.to_owned(),
+            nonce: self.nonce,
+            unheard,
+        })
+    }
+
+    /// Whether it is to be let go.
+    fn ends(&self, now: Micros) -> bool {
+        let Some((since, acted)) = self.since else { return false };
+        let over =
+            |most: Option<Micros>, from: Micros| most.is_some_and(|most| now >= from.saturating_add(most));
+        self.leaves || over(self.wish.turn, since) || over(self.wish.headway, acted)
+    }
+
+    fn granted(&mut self, asked: Asked, now: Micros, token: Token, renew: Micros) {
+        self.holder.granted(asked, now, token);
+        if self.leaves && self.since.is_none() {
+            // Granted after it was wanted no more.
+            (self.freeing, self.due) = (Some(token), now);
+        } else if self.holder.holds(now) == Some(token) {
+            self.since = self.since.or(Some((now, now)));
+            self.due = renew;
+        } else {
+            // Too late to be worth anything.
+            self.due = now;
+        }
+    }
+
+    /// The keepers know that it is let go: others come first.
+    fn freed(&mut self, now: Micros, token: Token, terms: &Terms) {
+        if self.freeing.take_if(|freeing| *freeing == token).is_some() {
+            self.since = None;
+            self.nonce += 1;
+            self.due = now + 2 * terms.lease;
+        }
+    }
+
+    /// The lease has ended at the keepers.
+    fn lost(&mut self, now: Micros, token: Token) {
+        self.holder.lost(token);
+        if self.holder.holds(now).is_none() {
+            self.since = None;
+            self.nonce += 1;
+            self.due = now;
+        }
+    }
+}
--- a/crates/leases/src/holder.rs
+++ b/crates/leases/src/holder.rs
@@ -52,7 +52,7 @@
     }
 
     /// Called *before* a request to acquire or renew is sent: the lease counts from here.
-    pub fn asks(&self, now: Micros) -> Asked {
+    pub fn asks(now: Micros) -> Asked {
         Asked(now)
     }
 
--- a/crates/leases/src/lib.rs
+++ b/crates/leases/src/lib.rs
@@ -1,17 +1,24 @@
 #![forbid(unsafe_code)]
 //! Leases for fleet-wide tasks, as pure parts: the [`Book`] that keepers agree on, the [`Watchman`] of the keeper that leads,
-//! and the [`Holder`]'s side.
+//! the [`Turnstile`] for those who are refused, the [`Holder`]'s side of one task, and the [`Claims`] of a relay.
 //!
 //! Commands go into the book in the order of the keepers' log; answers come out. Times go into the other two, each by the steady
 //! clock of its own process. Nothing here reads a clock, sends a message or knows the consensus engine. What is promised, and
 //! under which assumptions, stands in `docs/design/leases.md`.
 
 mod book;
+mod claims;
 mod holder;
+mod turnstile;
 mod watchman;
 
-pub use book::{Answer, Book, Command, Lease, MOST_SLOTS, MOST_TASKS, Refusal, Token};
+pub use book::{
+    Answer, Book, Command, Lease, MOST_LEASES, MOST_NAME, MOST_SLOTS, MOST_TASKS, MOST_UNHEARD, Refusal,
+    Token,
+};
+pub use claims::{Claims, Said, Sending, Wish};
 pub use holder::{Asked, Holder, NotNow, Permit};
+pub use turnstile::Turnstile;
 pub use watchman::Watchman;
 
 /// Microseconds.
--- a/crates/leases/src/watchman.rs
+++ b/crates/leases/src/watchman.rs
@@ -4,11 +4,19 @@
 
 use crate::{Book, Command, Micros, Terms, Token, planted};
 
+/// A lease as one keeper counts it.
+#[derive(Clone, Copy, Debug)]
+struct Count {
+    renewals: u64,
+    known: Micros,
+    since: Micros,
+}
+
 /// Counts leases by the steady clock of its keeper, and proposes to expire those that have run out.
 #[derive(Clone, Debug)]
 pub struct Watchman {
     terms: Terms,
-    counted: BTreeMap<(String, Token), (u64, Micros)>,
+    counted: BTreeMap<String, Vec<(Token, Count)>>,
 }
 
 impl Watchman {
@@ -16,36 +24,59 @@
     /// and may not shorten what that one gave.
     pub fn leads(terms: Terms, now: Micros, book: &Book) -> Watchman {
         let mut watchman = Watchman { terms, counted: BTreeMap::new() };
-        watchman.look(now, now, book);
+        for (task, _) in book.leases() {
+            watchman.look(task, now, book);
+        }
         watchman
     }
 
-    /// The book has changed by a command that came at `asked`: what is new in it, or renewed, is counted from now, which is
-    /// after it was agreed on.
-    pub fn applied(&mut self, asked: Micros, now: Micros, book: &Book) {
+    /// The book has changed by commands that came at `asked`: what is new in it, or renewed, is counted from now, which is
+    /// after it was agreed on. It costs what the tasks named cost, not what the book does.
+    pub fn applied(&mut self, asked: Micros, now: Micros, book: &Book, commands: &[Command]) {
         let from = if planted!(self.terms, KeeperCountsFromRequest) { asked } else { now };
-        self.look(from, now, book);
+        for command in commands {
+            self.look(command.task(), from.min(now), book);
+        }
     }
 
-    fn look(&mut self, from: Micros, now: Micros, book: &Book) {
-        let before = std::mem::take(&mut self.counted);
-        for (task, lease) in book.leases() {
-            let key = (task.to_owned(), lease.token);
-            let same = before.get(&key).filter(|(renewals, _)| *renewals == lease.renewals);
-            let counted = same.copied().unwrap_or((lease.renewals, from.min(now)));
-            self.counted.insert(key, counted);
+    fn look(&mut self, task: &str, since: Micros, book: &Book) {
+        let before = self.counted.remove(task).unwrap_or_default();
+        let counted = book.leases_of(task).iter().map(|lease| {
+            let known = before.iter().find(|(token, _)| *token == lease.token).map(|(_, count)| *count);
+            let count = match known {
+                Some(same) if same.renewals == lease.renewals => same,
+                Some(older) => Count { renewals: lease.renewals, since, ..older },
+                None => Count { renewals: lease.renewals, known: since, since },
+            };
+            (lease.token, count)
+        });
+        let counted: Vec<_> = counted.collect();
+        if !counted.is_empty() {
+            self.counted.insert(task.to_owned(), counted);
         }
     }
 
     /// The leases that have run out by now. Each is proposed to the log, again and again until it is agreed on or refused.
     pub fn expired(&self, now: Micros) -> Vec<Command> {
-        let span = self.terms.lease + self.terms.drift(self.terms.lease);
-        let over = self.counted.iter().filter(|(_, (_, since))| now >= since.saturating_add(span));
-        over.map(|((task, token), (renewals, _))| Command::Expire {
+        let all =
+            self.counted.iter().flat_map(|(task, leases)| leases.iter().map(move |lease| (task, lease)));
+        let over = all.filter(|(_, (_, count))| now >= count.since.saturating_add(self.span()));
+        over.map(|(task, (token, count))| Command::Expire {
             task: task.clone(),
             token: *token,
-            renewals: *renewals,
+            renewals: count.renewals,
         })
         .collect()
     }
+
+    /// Since when it knows a lease, and until when it will leave it standing if it is not renewed.
+    pub fn counted(&self, task: &str, token: Token) -> Option<(Micros, Micros)> {
+        let (_, count) = self.counted.get(task)?.iter().find(|(known, _)| *known == token)?;
+        Some((count.known, count.since.saturating_add(self.span())))
+    }
+
+    /// How long a lease lasts by this keeper's clock.
+    fn span(&self) -> Micros {
+        self.terms.lease + self.terms.drift(self.terms.lease)
+    }
 }
--- a/crates/leases/tests/days.rs
+++ b/crates/leases/tests/days.rs
@@ -219,7 +219,7 @@
         let keeper = &mut self.keepers[self.leader];
         keeper.applied = self.log.len();
         let answer = keeper.book.apply(&self.terms, &command);
-        self.watchman.applied(came, keeper.clock.at(now), &keeper.book);
+        self.watchman.applied(came, keeper.clock.at(now), &keeper.book, std::slice::from_ref(&command));
         if let (Command::Acquire { .. }, Answer::Held(token)) = (&command, &answer)
             && self.out.granted.last().is_none_or(|(last, _)| *last != token.0)
         {
@@ -241,7 +241,7 @@
     }
 
     fn send(&mut self, h: usize, command: Command) {
-        let asked = self.relays[h].holder.asks(self.relays[h].clock.at(self.now));
+        let asked = Holder::asks(self.relays[h].clock.at(self.now));
         self.relays[h].last_ask = self.now;
         // Lost, told once, or told twice; mostly to the keeper that leads.
         for _ in 0..[0, 1, 1, 1, 1, 1, 1, 1, 1, 2][self.rng.random_range(0..10)] {
@@ -264,7 +264,7 @@
                 // A new request, or the last one again.
                 self.relays[h].nonce += u64::from(self.rng.random_bool(0.7));
                 let (holder, nonce) = (format!("n{h}"), self.relays[h].nonce);
-                self.send(h, Command::Acquire { task: TASK.into(), slots: 1, holder, nonce });
+                self.send(h, Command::Acquire { task: TASK.into(), slots: 1, holder, nonce, unheard: 0 });
             }
             return;
         };
@@ -275,7 +275,7 @@
             return;
         }
         if asks_again {
-            self.send(h, Command::Renew { task: TASK.into(), token });
+            self.send(h, Command::Renew { task: TASK.into(), token, unheard: 0 });
         }
         if self.relays[h].act.is_none() {
             let longest = self.rng.random_range(LEASE / 50..LEASE / 2);
--- /dev/null
+++ b/crates/quorum/src/keeper.rs
@@ -0,0 +1,520 @@
+//! The keeper: what it has to write, send and answer next.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use honeyknot_leases::{Answer, Book, Command, Refusal, Said, Terms, Token, Turnstile, Watchman};
+use raft::eraftpb;
+use raft::{Config, RawNode, Ready, StateRole, Storage};
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use crate::letter::{Entry, Letter, Snapshot};
+use crate::log::{Kept, Log, Write, ticks};
+use crate::{KeeperId, Micros};
+
+/// What all keepers of a fleet are told alike, but for their own number.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The terms of leases.
+    pub terms: Terms,
+    /// This keeper's number, from 1.
+    pub me: KeeperId,
+    /// How many keepers there are.
+    pub keepers: u64,
+    /// How often [`Keeper::turn`] is called.
+    pub tick: Micros,
+    /// A keeper that hears no leader for this long, and a part more by its number, asks to lead.
+    pub election: Micros,
+    /// So many entries after the last, the book is put together and they go.
+    pub compact_after: u64,
+    /// Tokens rise from here: of a fleet whose keepers were lost, above all that were ever given.
+    pub tokens_from: u64,
+}
+
+/// What a client wants: commands, in order, all in one entry.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Ask {
+    /// Who asks, as the caller knows it.
+    pub from: u64,
+    /// Its number, given back with the answer.
+    pub id: u64,
+    /// The commands; none at all asks for the leases that there are.
+    pub commands: Vec<Command>,
+}
+
+/// The answer to an [`Ask`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Told {
+    /// One for each command, agreed on.
+    Answers(Vec<Said>),
+    /// All leases, as agreed on.
+    Leases(Vec<View>),
+    /// This keeper does not lead, or no more: the commands may have been taken or not. Who leads, as far as it knows.
+    Elsewhere(Option<KeeperId>),
+    /// Too much is under way.
+    Busy,
+}
+
+/// One lease, as the keeper that leads sees it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct View {
+    /// The task.
+    pub task: String,
+    /// Who.
+    pub holder: String,
+    /// By which token.
+    pub token: Token,
+    /// How often it was renewed.
+    pub renewals: u64,
+    /// For how long this leader has known it.
+    pub known_for: Micros,
+    /// For how long yet, unless it is renewed.
+    pub left: Micros,
+}
+
+/// What a keeper does next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Out {
+    /// To another keeper. It may be lost.
+    Send(Letter),
+    /// To who asked.
+    Tell {
+        /// Who.
+        to: u64,
+        /// What it called its ask.
+        id: u64,
+        /// The answer.
+        told: Told,
+    },
+}
+
+/// Why a keeper cannot go on: what it must not have forgotten is not there.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum Lost {
+    /// A leader counts on entries that this keeper has agreed to and does not hold.
+    #[error(
+        "the folder has lost entries: keeper {leader} counts on entry {presumed}, the log ends with {last}; an old copy?"
+    )]
+    Entries {
+        /// Who counts on them.
+        leader: KeeperId,
+        /// Up to which.
+        presumed: u64,
+        /// What is there.
+        last: u64,
+    },
+    /// What was agreed on here differs from what another keeper says.
+    #[error(
+        "entry {index} was agreed on and differs from what keeper {leader} holds: a folder of another fleet?"
+    )]
+    Differs {
+        /// The entry.
+        index: u64,
+        /// Who says so.
+        leader: KeeperId,
+    },
+    /// Something agreed on cannot be read.
+    #[error("{what} {index} cannot be read: written by another version?")]
+    Unreadable {
+        /// An entry or a snapshot.
+        what: &'static str,
+        /// Which.
+        index: u64,
+    },
+    /// What was found on disk does not hold together.
+    #[error("{0}")]
+    Folder(String),
+    /// The engine gave up.
+    #[error("the engine: {0}")]
+    Engine(String),
+}
+
+/// An ask whose entry is not agreed on yet.
+struct Waiting {
+    from: u64,
+    id: u64,
+    commands: usize,
+}
+
+/// What it keeps in its memory while it leads.
+struct Leading {
+    term: u64,
+    watchman: Watchman,
+    turnstile: Turnstile,
+}
+
+struct Batch {
+    term: u64,
+    asked: Micros,
+    asks: Vec<Waiting>,
+}
+
+/// One keeper.
+pub struct Keeper {
+    settings: Settings,
+    voters: Vec<KeeperId>,
+    node: RawNode<Log>,
+    book: Book,
+    applied: u64,
+    leading: Option<Leading>,
+    /// Asks since the last entry.
+    gathered: VecDeque<(Micros, Ask)>,
+    /// By index of the entry.
+    batches: BTreeMap<u64, Batch>,
+    /// The entry that expires what has run out, while it is not agreed on.
+    expiring: Option<u64>,
+    ready: Option<Ready>,
+    /// What [`Keeper::work`] said has to be written.
+    writing: Write,
+    compacted: Option<Snapshot>,
+    out: Vec<Out>,
+}
+
+/// Asks that wait for their entry, or for agreement, at the most; more are told `Busy`.
+const MOST_WAITING: usize = 8_192;
+/// Commands in one entry at the most.
+const MOST_IN_ENTRY: usize = 4_096;
+
+impl Keeper {
+    /// A keeper with what it found on its disk; nothing, if it was founded just now.
+    pub fn new(settings: Settings, kept: Kept) -> Result<Keeper, Lost> {
+        kept.check().map_err(Lost::Folder)?;
+        let voters: Vec<KeeperId> = (1..=settings.keepers).collect();
+        let election = ticks(settings.election, settings.tick).max(5);
+        // An election time of its own for each keeper, without chance: the engine draws between the least and the most.
+        let own = election + (settings.me as usize - 1) * (election / 4).max(1);
+        let mut config = Config::new(settings.me);
+        config.election_tick = election;
+        config.heartbeat_tick = (election / 5).max(1);
+        config.min_election_tick = own;
+        config.max_election_tick = own + 1;
+        config.check_quorum = true;
+        config.pre_vote = true;
+        config.max_size_per_msg = 256 * 1024;
+        config.max_inflight_msgs = 64;
+        config.max_uncommitted_size = 4 << 20;
+        let mut book = Book::founded(settings.tokens_from);
+        if let Some(snapshot) = &kept.snapshot {
+            config.applied = snapshot.index;
+            book = read("snapshot", snapshot.index, &snapshot.book)?;
+        }
+        let applied = config.applied;
+        let quiet = slog::Logger::root(slog::Discard, slog::o!());
+        let node = RawNode::new(&config, Log::new(&voters, kept), &quiet).map_err(engine)?;
+        Ok(Keeper {
+            settings,
+            voters,
+            node,
+            book,
+            applied,
+            leading: None,
+            gathered: VecDeque::new(),
+            batches: BTreeMap::new(),
+            expiring: None,
+            ready: None,
+            writing: Write::default(),
+            compacted: None,
+            out: Vec::new(),
+        })
+    }
+
+    /// Every [`Settings::tick`]: the engine counts, and leases that have run out are proposed to be ended.
+    pub fn turn(&mut self, now: Micros) {
+        self.node.tick();
+        let Some(leading) = &self.leading else { return };
+        if self.expiring.is_some() {
+            return;
+        }
+        let over = leading.watchman.expired(now);
+        if over.is_empty() {
+            return;
+        }
+        self.expiring = self.propose(now, &over[..over.len().min(MOST_IN_ENTRY)], Vec::new());
+    }
+
+    /// A letter of another keeper. One that is not for this keeper, or not of another, changes nothing.
+    pub fn heard(&mut self, letter: Letter) -> Result<(), Lost> {
+        let (me, from) = (self.settings.me, letter.from);
+        if letter.to != me || from == me || !self.voters.contains(&from) {
+            return Ok(());
+        }
+        let last = self.node.raft.raft_log.last_index();
+        // What a leader of long ago says late tells nothing about what was agreed on since.
+        let current = letter.term() >= self.node.raft.term;
+        // The engine ends the process on these two, as it may not go on; here they are told.
+        if let Some(presumed) = letter.presumes().filter(|presumed| current && *presumed > last) {
+            return Err(Lost::Entries { leader: from, presumed, last });
+        }
+        let Some(message) = letter.message(&self.voters) else { return Ok(()) };
+        let committed = self.node.raft.raft_log.committed;
+        let in_order =
+            message.get_entries().iter().zip(message.index + 1..).all(|(entry, index)| entry.index == index);
+        let acknowledges_more =
+            message.get_msg_type() == eraftpb::MessageType::MsgAppendResponse && message.index > last;
+        if !in_order || acknowledges_more && !message.reject {
+            return Ok(());
+        }
+        for entry in message.get_entries().iter().take_while(|entry| current && entry.index <= committed) {
+            if self.node.raft.raft_log.term(entry.index).is_ok_and(|term| term != 0 && term != entry.term) {
+                return Err(Lost::Differs { index: entry.index, leader: from });
+            }
+        }
+        // Stale terms and the like are the engine's to ignore.
+        let _ = self.node.step(message);
+        Ok(())
+    }
+
+    /// Another keeper cannot be reached: the engine sends it less.
+    pub fn unreachable(&mut self, keeper: KeeperId) {
+        self.node.report_unreachable(keeper);
+        self.node.report_snapshot(keeper, raft::SnapshotStatus::Failure);
+    }
+
+    /// A snapshot went out to another keeper.
+    pub fn snapshot_sent(&mut self, keeper: KeeperId) {
+        self.node.report_snapshot(keeper, raft::SnapshotStatus::Finish);
+    }
+
+    /// Somebody asks.
+    pub fn asked(&mut self, now: Micros, ask: Ask) {
+        let waiting =
+            self.gathered.len() + self.batches.values().map(|batch| batch.asks.len()).sum::<usize>();
+        if self.leading.is_none() {
+            let told = Told::Elsewhere(self.leader());
+            self.out.push(Out::Tell { to: ask.from, id: ask.id, told });
+        } else if waiting >= MOST_WAITING || ask.commands.len() > MOST_IN_ENTRY {
+            self.out.push(Out::Tell { to: ask.from, id: ask.id, told: Told::Busy });
+        } else {
+            self.gathered.push_back((now, ask));
+        }
+    }
+
+    /// Who leads, as far as this keeper knows.
+    pub fn leader(&self) -> Option<KeeperId> {
+        Some(self.node.raft.leader_id).filter(|id| *id != raft::INVALID_ID)
+    }
+
+    /// Whether it leads.
+    pub fn leads(&self) -> bool {
+        self.leading.is_some()
+    }
+
+    /// The term it has come to.
+    pub fn term(&self) -> u64 {
+        self.node.raft.term
+    }
+
+    /// The book as far as this keeper has applied it.
+    pub fn book(&self) -> &Book {
+        &self.book
+    }
+
+    /// What has to be on disk next, if there is anything to do. [`Keeper::written`] follows, and nothing else before it.
+    pub fn work(&mut self, now: Micros) -> Option<Write> {
+        self.propose_gathered(now);
+        if !self.node.has_ready() && self.compacted.is_none() && self.out.is_empty() {
+            return None;
+        }
+        let mut write = Write { snapshot: self.compacted.take(), ..Write::default() };
+        if self.node.has_ready() {
+            let ready = self.node.ready();
+            write.state = ready.hs().map(|state| state.clone().into());
+            if !ready.snapshot().is_empty() {
+                let snapshot = Snapshot::from(ready.snapshot().clone());
+                write.drop_from = Some(snapshot.index + 1);
+                write.snapshot = Some(snapshot);
+            }
+            write.entries = ready.entries().iter().cloned().map(Entry::from).collect();
+            write.drop_from = write.entries.first().map(|entry| entry.index).or(write.drop_from);
+            self.ready = Some(ready);
+        }
+        self.writing = write.clone();
+        Some(write)
+    }
+
+    /// What [`Keeper::work`] named is on disk: what follows from it.
+    pub fn written(&mut self, now: Micros) -> Result<Vec<Out>, Lost> {
+        let write = std::mem::take(&mut self.writing);
+        if let Some(mut ready) = self.ready.take() {
+            let log = self.node.mut_store();
+            if !ready.snapshot().is_empty()
+                && let Some(snapshot) = write.snapshot
+            {
+                self.book = read("snapshot", snapshot.index, &snapshot.book)?;
+                self.applied = snapshot.index;
+                log.restore(snapshot);
+            }
+            log.append(&write.entries);
+            if let Some(state) = write.state {
+                log.set_state(state);
+            }
+            self.send(ready.take_messages());
+            self.send(ready.take_persisted_messages());
+            let committed = ready.take_committed_entries();
+            self.follow_role(now);
+            self.apply(now, committed)?;
+            let mut light = self.node.advance(ready);
+            if let Some(commit) = light.commit_index() {
+                self.node.mut_store().commit(commit);
+            }
+            self.send(light.take_messages());
+            let committed = light.take_committed_entries();
+            self.apply(now, committed)?;
+            self.node.advance_apply();
+        }
+        self.follow_role(now);
+        self.compact();
+        Ok(std::mem::take(&mut self.out))
+    }
+
+    /// Takes the lead up, or lets it go.
+    fn follow_role(&mut self, now: Micros) {
+        let term = self.node.raft.term;
+        let leads = self.node.raft.state == StateRole::Leader;
+        if leads && self.leading.as_ref().is_none_or(|leading| leading.term != term) {
+            self.let_go();
+            self.book.taken_up(&self.settings.terms);
+            let terms = self.settings.terms;
+            let watchman = Watchman::leads(terms, now, &self.book);
+            self.leading = Some(Leading { term, watchman, turnstile: Turnstile::new(terms) });
+        } else if !leads && self.leading.is_some() {
+            self.let_go();
+        }
+    }
+
+    /// It leads no more: whoever waits is told so.
+    fn let_go(&mut self) {
+        self.leading = None;
+        self.expiring = None;
+        let leader = self.leader().filter(|leader| *leader != self.settings.me);
+        let gathered = self.gathered.drain(..).map(|(_, ask)| (ask.from, ask.id));
+        let batches = std::mem::take(&mut self.batches);
+        let proposed = batches.into_values().flat_map(|batch| batch.asks).map(|ask| (ask.from, ask.id));
+        for (to, id) in gathered.chain(proposed) {
+            self.out.push(Out::Tell { to, id, told: Told::Elsewhere(leader) });
+        }
+    }
+
+    fn propose_gathered(&mut self, now: Micros) {
+        while !self.gathered.is_empty() {
+            let (mut commands, mut asks, mut since) = (Vec::new(), Vec::new(), now);
+            while let Some((asked, ask)) = self.gathered.front() {
+                if !asks.is_empty() && commands.len() + ask.commands.len() > MOST_IN_ENTRY {
+                    break;
+                }
+                since = since.min(*asked);
+                asks.push(Waiting { from: ask.from, id: ask.id, commands: ask.commands.len() });
+                commands.extend(ask.commands.iter().cloned());
+                self.gathered.pop_front();
+            }
+            self.propose(since, &commands, asks);
+        }
+    }
+
+    /// Puts an entry on the log, and tells those who asked for it if the engine takes none now.
+    fn propose(&mut self, asked: Micros, commands: &[Command], asks: Vec<Waiting>) -> Option<u64> {
+        let data = postcard::to_stdvec(commands).ok();
+        let taken = data.is_some_and(|data| self.node.propose(Vec::new(), data).is_ok());
+        if !taken {
+            let busy = asks.into_iter().map(|ask| Out::Tell { to: ask.from, id: ask.id, told: Told::Busy });
+            self.out.extend(busy);
+            return None;
+        }
+        let index = self.node.raft.raft_log.last_index();
+        self.batches.insert(index, Batch { term: self.node.raft.term, asked, asks });
+        Some(index)
+    }
+
+    fn apply(&mut self, now: Micros, entries: Vec<eraftpb::Entry>) -> Result<(), Lost> {
+        for entry in entries {
+            let (mut answers, mut commands) = (Vec::new(), Vec::new());
+            if !entry.data.is_empty() {
+                commands = read::<Vec<Command>>("entry", entry.index, &entry.data)?;
+                for command in &commands {
+                    let answer = self.book.apply(&self.settings.terms, command);
+                    let again = match (&mut self.leading, command, answer) {
+                        (Some(leading), Command::Acquire { task, .. }, Answer::No(Refusal::Taken)) => {
+                            leading.turnstile.refused(now, task)
+                        }
+                        _ => 0,
+                    };
+                    answers.push(Said { answer, again });
+                }
+            }
+            self.applied = entry.index;
+            if self.expiring == Some(entry.index) {
+                self.expiring = None;
+            }
+            let batch = self.batches.remove(&entry.index);
+            let asked = batch.as_ref().map_or(now, |batch| batch.asked);
+            if let Some(leading) = &mut self.leading {
+                leading.watchman.applied(asked, now, &self.book, &commands);
+            }
+            if let Some(batch) = batch {
+                self.answer(now, entry.term, batch, answers);
+            }
+        }
+        Ok(())
+    }
+
+    fn answer(&mut self, now: Micros, term: u64, batch: Batch, answers: Vec<Said>) {
+        let mut answers = answers.into_iter();
+        for ask in batch.asks {
+            let told = match ask.commands {
+                // Another leader's entry came to stand in this place.
+                _ if batch.term != term => Told::Elsewhere(self.leader()),
+                0 => Told::Leases(self.view(now)),
+                many => Told::Answers(answers.by_ref().take(many).collect()),
+            };
+            self.out.push(Out::Tell { to: ask.from, id: ask.id, told });
+        }
+    }
+
+    /// All leases, with what this leader counts for each.
+    fn view(&self, now: Micros) -> Vec<View> {
+        let leases = self.book.leases().map(|(task, lease)| {
+            let counted =
+                self.leading.as_ref().and_then(|leading| leading.watchman.counted(task, lease.token));
+            let (known, until) = counted.unwrap_or((now, now));
+            View {
+                task: task.to_owned(),
+                holder: lease.holder.clone(),
+                token: lease.token,
+                renewals: lease.renewals,
+                known_for: now.saturating_sub(known),
+                left: until.saturating_sub(now),
+            }
+        });
+        leases.collect()
+    }
+
+    fn compact(&mut self) {
+        let since = self.node.store().snapshot_index();
+        if self.applied < since + self.settings.compact_after || self.compacted.is_some() {
+            return;
+        }
+        let term = self.node.store().term(self.applied);
+        if let (Ok(book), Ok(term)) = (postcard::to_stdvec(&self.book), term) {
+            let snapshot = Snapshot { index: self.applied, term, book };
+            self.node.mut_store().compact(snapshot.clone());
+            self.compacted = Some(snapshot);
+        }
+    }
+
+    fn send(&mut self, messages: Vec<eraftpb::Message>) {
+        self.out.extend(messages.into_iter().map(|message| Out::Send(message.into())));
+    }
+
+    /// The entries that it holds in memory from this one on, for tests that compare keepers.
+    pub fn log_from(&self, index: u64) -> Vec<Entry> {
+        self.node.store().from(index)
+    }
+}
+
+fn read<T: for<'a> Deserialize<'a>>(what: &'static str, index: u64, bytes: &[u8]) -> Result<T, Lost> {
+    postcard::from_bytes(bytes).map_err(|_| Lost::Unreadable { what, index })
+}
+
+fn engine(why: raft::Error) -> Lost {
+    Lost::Engine(why.to_string())
+}
