honeyknot keeper and honeyknot lease: folders, wire, staff calls, a relay's client

A leader that is stopped asks the one that knows most to lead. src/leases: leases.conf with its checks, frames (tokio-util's length codec, postcard), first frame readable by all versions, the client that carries Claims out, honeyknot lease list|show|release|watch. Release by staff means no renewal: the lease is free once it has run out, as its holder may act until then.

Nothing of it runs in `run`. tests/keepers.rs: all killed at once, folders, a lost folder (fails with the check of marks out), strangers on the wire, faults of the file.

--- a/crates/leases/src/book.rs
+++ b/crates/leases/src/book.rs
@@ -35,6 +35,8 @@
     pub token: Token,
     /// How often it was renewed.
     pub renewals: u64,
+    /// Renewed no more: it ends by itself.
+    pub revoked: bool,
 }
 
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -75,6 +77,13 @@
         /// Its token.
         token: Token,
     },
+    /// Staff take it away: it is renewed no more, and free once it has run out, as its holder may act until then.
+    Revoke {
+        /// The task.
+        task: String,
+        /// Its token.
+        token: Token,
+    },
     /// The keeper that leads has seen a lease run out.
     Expire {
         /// The task.
@@ -92,6 +101,7 @@
         let (Command::Acquire { task, .. }
         | Command::Renew { task, .. }
         | Command::Release { task, .. }
+        | Command::Revoke { task, .. }
         | Command::Expire { task, .. }) = self;
         task
     }
@@ -157,10 +167,17 @@
             }
             Command::Acquire { task, slots, holder, nonce, .. } => self.acquire(task, *slots, holder, *nonce),
             Command::Renew { task, token, .. } => match self.lease(task, *token) {
-                Some(lease) => {
+                Some(lease) if !lease.revoked => {
                     lease.renewals += 1;
                     Answer::Held(*token)
                 }
+                _ => Answer::No(Refusal::Ended),
+            },
+            Command::Revoke { task, token } => match self.lease(task, *token) {
+                Some(lease) => {
+                    lease.revoked = true;
+                    Answer::Held(*token)
+                }
                 None => Answer::No(Refusal::Ended),
             },
             Command::Release { task, token } => {
@@ -203,7 +220,7 @@
         // The answer to the first telling was lost: it is told again, and the lease is renewed by that, as its holder counts
         // from when it asked last. A holder has one slot of a task.
         if let Some(own) = task.leases.iter_mut().find(|lease| lease.holder == holder) {
-            if own.nonce != nonce {
+            if own.nonce != nonce || own.revoked {
                 return Answer::No(Refusal::Taken);
             }
             own.renewals += 1;
@@ -218,7 +235,7 @@
         self.held += 1;
         task.last_token += 1;
         let token = Token(task.last_token);
-        task.leases.push(Lease { holder: holder.to_owned(), nonce, token, renewals: 0 });
+        task.leases.push(Lease { holder: holder.to_owned(), nonce, token, renewals: 0, revoked: false });
         Answer::Held(token)
     }
 
--- a/crates/leases/src/holder.rs
+++ b/crates/leases/src/holder.rs
@@ -59,8 +59,7 @@
     /// The request was granted. A grant whose answer took longer than the lease is worth nothing.
     pub fn granted(&mut self, asked: Asked, now: Micros, token: Token) {
         let from = if planted!(self.terms, CountsFromAnswer) { now } else { asked.0 };
-        let span = self.terms.lease.saturating_sub(self.terms.drift(self.terms.lease));
-        let until = from.saturating_add(span).saturating_sub(self.terms.margin);
+        let until = from.saturating_add(self.terms.usable());
         match self.held {
             // Guards against a renewal that is answered after the lease was released, and acting on it.
             _ if token <= self.ended => {}
--- a/crates/leases/src/lib.rs
+++ b/crates/leases/src/lib.rs
@@ -74,6 +74,11 @@
         }
     }
 
+    /// What a holder may use of a lease, from when it asked.
+    pub fn usable(&self) -> Micros {
+        self.lease.saturating_sub(self.drift(self.lease)).saturating_sub(self.margin)
+    }
+
     #[cfg(feature = "planted")]
     fn plants(&self, fault: Planted) -> bool {
         self.planted == Some(fault)
--- a/crates/leases/tests/claims.rs
+++ b/crates/leases/tests/claims.rs
@@ -142,6 +142,38 @@
     assert!(many.1 <= 10, "{many:?}");
 }
 
+#[test]
+fn what_staff_take_away_is_free_once_it_has_run_out_and_not_before() {
+    let terms = Terms::new(LEASE);
+    let mut keeper = Keeper::new(terms);
+    let mut holder = Claims::new(terms, "holder", 1, 1);
+    holder.want(0, "probes", ONE);
+    let mut until = 0;
+    for step in 0..200 {
+        let now = step * LEASE / 50;
+        keeper.expires(now);
+        if now == 2 * LEASE {
+            let token = holder.holds(now, "probes").expect("it holds it");
+            keeper.applies(now, &Command::Revoke { task: "probes".into(), token });
+        }
+        let free = keeper.book.leases().count() == 0;
+        assert!(
+            now == 0 || !free || holder.holds(now, "probes").is_none(),
+            "free while it is held, at {now}"
+        );
+        if free && now > 0 && until == 0 {
+            until = now;
+        }
+        if until == 0
+            && let Some(sending) = holder.ask(now)
+        {
+            let said = keeper.hears(now, &sending);
+            holder.told(now, sending.id, &said);
+        }
+    }
+    assert!((2 * LEASE + LEASE / 2..4 * LEASE).contains(&until), "free at {until}");
+}
+
 #[test]
 fn who_leaves_lets_go_and_the_next_need_not_wait() {
     let terms = Terms::new(LEASE);
--- a/crates/quorum/src/keeper.rs
+++ b/crates/quorum/src/keeper.rs
@@ -70,6 +70,8 @@
     pub known_for: Micros,
     /// For how long yet, unless it is renewed.
     pub left: Micros,
+    /// Renewed no more.
+    pub revoked: bool,
 }
 
 /// What a keeper does next.
@@ -289,6 +291,21 @@
         }
     }
 
+    /// It is about to stop: another, the one that knows most, is asked to lead.
+    pub fn hand_over(&mut self) {
+        if self.node.raft.state != StateRole::Leader {
+            return;
+        }
+        let me = self.settings.me;
+        let others = self.node.raft.prs().iter().filter(|(id, _)| **id != me);
+        if let Some((next, _)) =
+            others.max_by_key(|(id, progress)| (progress.matched, std::cmp::Reverse(**id)))
+        {
+            let next = *next;
+            self.node.transfer_leader(next);
+        }
+    }
+
     /// Who leads, as far as this keeper knows.
     pub fn leader(&self) -> Option<KeeperId> {
         Some(self.node.raft.leader_id).filter(|id| *id != raft::INVALID_ID)
@@ -483,6 +500,7 @@
                 renewals: lease.renewals,
                 known_for: now.saturating_sub(known),
                 left: until.saturating_sub(now),
+                revoked: lease.revoked,
             }
         });
         leases.collect()
--- a/crates/quorum/src/letter.rs
+++ b/crates/quorum/src/letter.rs
@@ -66,6 +66,11 @@
         self.term
     }
 
+    /// Whether it carries a snapshot: its writer waits until it is told that it went out.
+    pub fn brings_snapshot(&self) -> bool {
+        self.snapshot.is_some()
+    }
+
     /// For a heartbeat: the last entry that its leader believes this keeper to hold, and to be agreed on.
     pub(crate) fn presumes(&self) -> Option<u64> {
         (self.kind == MessageType::MsgHeartbeat as u8).then_some(self.commit)
--- /dev/null
+++ b/src/keeper/disk.rs
@@ -0,0 +1,201 @@
+//! A keeper's folder: one `redb` file, written in whole transactions. One folder is one keeper's, and one process's.
+
+use std::collections::BTreeMap;
+use std::fmt::Display;
+use std::path::Path;
+
+use honeyknot_quorum::{Entry, KeeperId, Kept, Snapshot, State, Write};
+use rand::TryRngCore;
+use rand::rngs::OsRng;
+use redb::{Database, DatabaseError, ReadableDatabase, ReadableTable, TableDefinition};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+
+/// The file in the folder.
+const FILE: &str = "keeper.redb";
+/// Entries by index.
+const LOG: TableDefinition<u64, &[u8]> = TableDefinition::new("log");
+/// `state`, `snapshot` and `founded`.
+const KEPT: TableDefinition<&str, &[u8]> = TableDefinition::new("kept");
+/// The marks of the other keepers' folders.
+const MARKS: TableDefinition<u64, u64> = TableDefinition::new("marks");
+
+/// Whose folder it is.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Founding {
+    /// Of which fleet.
+    pub fleet: String,
+    /// Of how many keepers.
+    pub keepers: u64,
+    /// Of which.
+    pub me: KeeperId,
+}
+
+#[derive(Serialize, Deserialize)]
+struct Founded {
+    founding: Founding,
+    tokens_from: u64,
+    mark: u64,
+}
+
+/// What a folder held.
+#[derive(Debug)]
+pub struct Found {
+    /// What the engine must not have forgotten.
+    pub kept: Kept,
+    /// Tokens rise from here.
+    pub tokens_from: u64,
+    /// Drawn when the folder was founded.
+    pub mark: u64,
+    /// The marks that the other keepers came with.
+    pub marks: BTreeMap<KeeperId, u64>,
+}
+
+/// An open folder.
+pub struct Disk {
+    base: Database,
+    path: String,
+}
+
+impl Disk {
+    /// Opens a folder, or founds it if told to. An empty folder is not opened without that word: its keeper would vote as if it had
+    /// never voted, and what it once agreed to could be unsaid.
+    pub fn open(folder: &Path, founding: Founding, found: Option<u64>) -> Result<(Disk, Found), String> {
+        let file = folder.join(FILE);
+        let path = file.display().to_string();
+        let there = file.try_exists().map_err(|why| format!("{path}: {why}"))?;
+        match (there, found) {
+            (false, None) => {
+                return Err(format!(
+                    "{path} is not there. If this keeper has never run, found its folder with --found TOKENS_FROM; if it has lost \
+                     its disk, it must not vote as if it had not: docs/operate/leases.md says what to do"
+                ));
+            }
+            (true, Some(_)) => return Err(format!("{path} is there already: start without --found")),
+            _ => {}
+        }
+        if !there {
+            std::fs::create_dir_all(folder).map_err(|why| format!("{}: {why}", folder.display()))?;
+        }
+        let opened = if there { Database::open(&file) } else { Database::create(&file) };
+        let base = opened.map_err(|why| match why {
+            DatabaseError::DatabaseAlreadyOpen => format!("{path} is in use by another process"),
+            why => format!("{path}: {why}"),
+        })?;
+        let disk = Disk { base, path };
+        if let Some(tokens_from) = found {
+            let mark = OsRng.try_next_u64().map_err(|why| format!("the system gives no chance: {why}"))?;
+            let founded = Founded { founding: founding.clone(), tokens_from, mark };
+            disk.change(|tables| tables.keep("founded", &founded))?;
+        }
+        let found = disk.read(&founding)?;
+        Ok((disk, found))
+    }
+
+    fn read(&self, founding: &Founding) -> Result<Found, String> {
+        let wrong = |why: &dyn Display| format!("{}: {why}", self.path);
+        let txn = self.base.begin_read().map_err(|why| wrong(&why))?;
+        let kept = txn.open_table(KEPT).map_err(|why| wrong(&why))?;
+        let founded: Option<Founded> = read(&kept, "founded").map_err(|why| wrong(&why))?;
+        let founded = founded
+            .ok_or_else(|| wrong(&"the folder was never founded to its end; remove it and found it anew"))?;
+        if founded.founding != *founding {
+            let Founding { fleet, keepers, me } = &founded.founding;
+            return Err(wrong(&format!(
+                "the folder is keeper {me}'s of {keepers} of the fleet `{fleet}`, not keeper {}'s of {} of `{}`",
+                founding.me, founding.keepers, founding.fleet
+            )));
+        }
+        let state: Option<State> = read(&kept, "state").map_err(|why| wrong(&why))?;
+        let snapshot: Option<Snapshot> = read(&kept, "snapshot").map_err(|why| wrong(&why))?;
+        let mut entries = Vec::new();
+        let log = txn.open_table(LOG).map_err(|why| wrong(&why))?;
+        for item in log.iter().map_err(|why| wrong(&why))? {
+            let (_, bytes) = item.map_err(|why| wrong(&why))?;
+            let entry: Entry = postcard::from_bytes(bytes.value()).map_err(|why| wrong(&why))?;
+            entries.push(entry);
+        }
+        let mut marks = BTreeMap::new();
+        let table = txn.open_table(MARKS).map_err(|why| wrong(&why))?;
+        for item in table.iter().map_err(|why| wrong(&why))? {
+            let (keeper, mark) = item.map_err(|why| wrong(&why))?;
+            marks.insert(keeper.value(), mark.value());
+        }
+        let kept = Kept { state: state.unwrap_or_default(), snapshot, entries };
+        Ok(Found { kept, tokens_from: founded.tokens_from, mark: founded.mark, marks })
+    }
+
+    /// Puts a write on disk, whole, and waits until it is there.
+    pub fn write(&self, write: &Write) -> Result<(), String> {
+        if write.is_empty() {
+            return Ok(());
+        }
+        self.change(|tables| {
+            if let Some(state) = &write.state {
+                tables.keep("state", state)?;
+            }
+            if let Some(snapshot) = &write.snapshot {
+                tables.keep("snapshot", snapshot)?;
+                tables.log.retain_in(..=snapshot.index, |_, _| false)?;
+            }
+            if let Some(from) = write.drop_from {
+                tables.log.retain_in(from.., |_, _| false)?;
+            }
+            for entry in &write.entries {
+                let bytes = postcard::to_stdvec(entry)?;
+                tables.log.insert(entry.index, &bytes[..])?;
+            }
+            Ok(())
+        })
+    }
+
+    /// Remembers the mark of another keeper's folder.
+    pub fn remember(&self, keeper: KeeperId, mark: u64) -> Result<(), String> {
+        self.change(|tables| {
+            tables.marks.insert(keeper, mark)?;
+            Ok(())
+        })
+    }
+
+    fn change(&self, change: impl FnOnce(&mut Tables) -> Result<(), Trouble>) -> Result<(), String> {
+        self.changed(change).map_err(|why| format!("{}: {why}", self.path))
+    }
+
+    fn changed(&self, change: impl FnOnce(&mut Tables) -> Result<(), Trouble>) -> Result<(), Trouble> {
+        // Durable when `commit` returns: the store's own default.
+        let txn = self.base.begin_write()?;
+        {
+            let mut tables = Tables {
+                log: txn.open_table(LOG)?,
+                kept: txn.open_table(KEPT)?,
+                marks: txn.open_table(MARKS)?,
+            };
+            change(&mut tables)?;
+        }
+        txn.commit()?;
+        Ok(())
+    }
+}
+
+type Trouble = Box<dyn std::error::Error>;
+
+struct Tables<'t> {
+    log: redb::Table<'t, u64, &'static [u8]>,
+    kept: redb::Table<'t, &'static str, &'static [u8]>,
+    marks: redb::Table<'t, u64, u64>,
+}
+
+impl Tables<'_> {
+    fn keep(&mut self, name: &str, what: &impl Serialize) -> Result<(), Trouble> {
+        let bytes = postcard::to_stdvec(what)?;
+        self.kept.insert(name, &bytes[..])?;
+        Ok(())
+    }
+}
+
+fn read<T: DeserializeOwned>(
+    table: &impl ReadableTable<&'static str, &'static [u8]>, name: &str,
+) -> Result<Option<T>, Trouble> {
+    let Some(bytes) = table.get(name)? else { return Ok(None) };
+    Ok(Some(postcard::from_bytes(bytes.value())?))
+}
--- /dev/null
+++ b/src/leases/client.rs
@@ -0,0 +1,234 @@
+//! A relay's side: carries its claims out over sockets. Never in the way of a session: whoever wants to act asks for a permit, and
+//! is told at once whether there is one.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use honeyknot_leases::{Claims, NotNow, Permit, Token, Wish};
+use honeyknot_quorum::{KeeperId, Told};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::sync::{Notify, mpsc};
+use tokio::task::JoinHandle;
+use tokio::time::{sleep, timeout};
+use tracing::{debug, warn};
+
+use super::Clock;
+use super::plan::Plan;
+use super::wire::{self, Frame, Hello, Reader, Who};
+use crate::interface::Micros;
+
+/// Frames that wait for a keeper at the most: a relay has one ask out at a time.
+const QUEUE: usize = 16;
+
+/// The claims of this process, carried out by a task of their own until it is dropped.
+pub struct Client {
+    claims: Rc<RefCell<Claims>>,
+    changed: Rc<Notify>,
+    clock: Clock,
+    task: JoinHandle<()>,
+}
+
+impl Client {
+    /// Begins, within a `LocalSet`. `name` is this process's alone: an old process of the same relay is another holder.
+    pub fn start(plan: &Plan, name: &str, seed: u64, clock: Clock) -> Client {
+        let claims = Claims::new(plan.terms, name, plan.keepers.len() as u64, seed);
+        let claims = Rc::new(RefCell::new(claims));
+        let changed = Rc::new(Notify::new());
+        let hello = Hello::new(Who::Client(name.to_owned()), plan);
+        let (news, heard) = mpsc::channel(QUEUE);
+        let carrier = Carrier {
+            claims: claims.clone(),
+            changed: changed.clone(),
+            clock: clock.clone(),
+            keepers: plan.keepers.clone(),
+            hello,
+            lines: BTreeMap::new(),
+            told: None,
+            patience: Duration::from_micros(plan.terms.lease / 4),
+            news,
+        };
+        let task = tokio::task::spawn_local(carrier.run(heard));
+        Client { claims, changed, clock, task }
+    }
+
+    /// Wants a task from now on.
+    pub fn want(&self, task: &str, wish: Wish) {
+        self.claims.borrow_mut().want((self.clock)(), task, wish);
+        self.changed.notify_one();
+    }
+
+    /// The right to one act on a task, which takes `longest` at the most, or why there is none.
+    pub fn permit(&self, task: &str, longest: Micros) -> Result<Permit, NotNow> {
+        self.claims.borrow_mut().permit((self.clock)(), task, longest)
+    }
+
+    /// The token of an act, if it may go on. To be asked before each of its effects.
+    pub fn shown(&self, permit: &Permit) -> Option<Token> {
+        permit.shown((self.clock)())
+    }
+
+    /// Lets go of everything as acts end, for `most` at the longest; whether the keepers know.
+    pub async fn leave(&self, most: Duration) -> bool {
+        self.claims.borrow_mut().leave((self.clock)());
+        self.changed.notify_one();
+        let idle = async {
+            while !self.claims.borrow().idle() {
+                sleep(Duration::from_millis(5)).await;
+            }
+        };
+        timeout(most, idle).await.is_ok()
+    }
+}
+
+impl Drop for Client {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+enum News {
+    Told(u64, Told),
+    Gone(KeeperId, String),
+}
+
+struct Carrier {
+    claims: Rc<RefCell<Claims>>,
+    changed: Rc<Notify>,
+    clock: Clock,
+    keepers: BTreeMap<KeeperId, SocketAddr>,
+    hello: Hello,
+    /// To each keeper, while there is a connection: frames, and the ask that went there last.
+    lines: BTreeMap<KeeperId, (mpsc::Sender<Frame>, u64)>,
+    /// The trouble that was told last: once a cause, not once a try.
+    told: Option<String>,
+    patience: Duration,
+    news: mpsc::Sender<News>,
+}
+
+impl Carrier {
+    async fn run(mut self, mut heard: mpsc::Receiver<News>) {
+        loop {
+            let now = (self.clock)();
+            let sending = self.claims.borrow_mut().ask(now);
+            if let Some(sending) = sending {
+                self.send(
+                    sending.keeper,
+                    Frame::Ask { id: sending.id, commands: sending.commands },
+                    sending.id,
+                );
+            }
+            let next = self.claims.borrow().next();
+            // An hour is as good as never; clocks of leases and of timers may differ a little in rate.
+            let wait = Duration::from_micros(next.saturating_sub((self.clock)()).min(3_600_000_000) + 500);
+            let changed = self.changed.clone();
+            tokio::select! {
+                news = heard.recv() => match news {
+                    Some(news) => self.hears(news),
+                    None => return,
+                },
+                () = changed.notified() => {}
+                () = sleep(wait) => {}
+            }
+        }
+    }
+
+    fn send(&mut self, keeper: KeeperId, frame: Frame, id: u64) {
+        let Some(at) = self.keepers.get(&keeper).copied() else { return };
+        let line = self.lines.entry(keeper).or_insert_with(|| {
+            let (sender, frames) = mpsc::channel(QUEUE);
+            tokio::task::spawn_local(line(
+                keeper,
+                at,
+                self.hello.clone(),
+                frames,
+                self.news.clone(),
+                self.patience,
+            ));
+            (sender, id)
+        });
+        line.1 = id;
+        if line.0.try_send(frame).is_err() {
+            self.lines.remove(&keeper);
+            self.claims.borrow_mut().cut((self.clock)(), id);
+        }
+    }
+
+    fn hears(&mut self, news: News) {
+        let now = (self.clock)();
+        let mut claims = self.claims.borrow_mut();
+        match news {
+            News::Told(id, told) => {
+                match told {
+                    Told::Answers(said) => claims.told(now, id, &said),
+                    Told::Elsewhere(leader) => claims.elsewhere(now, id, leader),
+                    Told::Busy => claims.busy(now, id),
+                    Told::Leases(_) => {}
+                }
+                self.told = None;
+            }
+            News::Gone(keeper, why) => {
+                if let Some((_, id)) = self.lines.remove(&keeper) {
+                    claims.cut(now, id);
+                }
+                if self.told.as_ref() != Some(&why) {
+                    warn!(target: "leases", keeper, why, "a keeper cannot be asked; the others are");
+                    self.told = Some(why);
+                }
+            }
+        }
+    }
+}
+
+/// One connection to a keeper, until it ends or nobody has answered for long.
+async fn line(
+    keeper: KeeperId, at: SocketAddr, hello: Hello, frames: mpsc::Receiver<Frame>, news: mpsc::Sender<News>,
+    patience: Duration,
+) {
+    let why = match carry(at, &hello, frames, &news, patience).await {
+        Ok(()) => return,
+        Err(why) => why.to_string(),
+    };
+    debug!(target: "leases", keeper, why, "the connection to a keeper has ended");
+    let _ = news.send(News::Gone(keeper, why)).await;
+}
+
+async fn carry(
+    at: SocketAddr, hello: &Hello, mut frames: mpsc::Receiver<Frame>, news: &mpsc::Sender<News>,
+    patience: Duration,
+) -> std::io::Result<()> {
+    let late = || std::io::Error::from(std::io::ErrorKind::TimedOut);
+    let stream = timeout(patience, TcpStream::connect(at)).await.map_err(|_| late())??;
+    stream.set_nodelay(true)?;
+    let (from, mut to) = stream.into_split();
+    let mut reader = Reader::new(from);
+    wire::greet(&mut reader, &mut to, hello).await?;
+    let mut unanswered = 0;
+    loop {
+        tokio::select! {
+            frame = frames.recv() => {
+                let Some(frame) = frame else { return Ok(()) };
+                // One that has swallowed some asks in silence is not asked over the same connection again.
+                unanswered += 1;
+                if unanswered > 3 {
+                    return Err(late());
+                }
+                let bytes = wire::encode(&frame)?;
+                timeout(patience, to.write_all(&bytes)).await.map_err(|_| late())??;
+            }
+            frame = reader.next() => match frame? {
+                Some(Frame::Told { id, told }) => {
+                    unanswered = 0;
+                    if news.send(News::Told(id, told)).await.is_err() {
+                        return Ok(());
+                    }
+                }
+                Some(_) => return Err(std::io::Error::other("a frame that only keepers are sent")),
+                None => return Err(std::io::ErrorKind::ConnectionReset.into()),
+            }
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,8 @@
 
 pub mod admin;
 pub mod inspect;
+pub mod keeper;
+pub mod leases;
 pub mod logger;
 pub mod relay;
 pub mod wire;
--- a/src/main.rs
+++ b/src/main.rs
@@ -6,6 +6,8 @@
 use clap::{Parser, Subcommand};
 use honeyknot::admin::ask;
 use honeyknot::inspect::{self, Show};
+use honeyknot::keeper::{self, Seat};
+use honeyknot::leases::{plan::Plan, staff};
 use honeyknot::logger::{self, Form};
 use honeyknot::relay::{
     self,
@@ -52,6 +54,28 @@
         #[arg(required = true)]
         words: Vec<String>,
     },
+    /// Keep leases, as one of three, five or seven that agree, until SIGTERM.
+    Keeper {
+        /// The operators' file: the keepers and the terms of leases.
+        #[arg(long)]
+        leases: String,
+        #[command(flatten)]
+        seat: Seat,
+        /// The least level that is logged.
+        #[arg(long, default_value = "info", env = "HONEYKNOT_LOG")]
+        log: LevelFilter,
+        /// How records are written.
+        #[arg(long, value_enum, default_value = "text", env = "HONEYKNOT_LOG_FORM")]
+        log_form: Form,
+    },
+    /// Ask the keepers who holds what, or take a lease away.
+    Lease {
+        /// The operators' file: the keepers and the terms of leases.
+        #[arg(long, default_value = "deploy/leases.conf")]
+        leases: String,
+        #[command(subcommand)]
+        call: staff::Call,
+    },
     /// Print name and version.
     Version,
 }
@@ -71,6 +95,11 @@
             }
             Err(why) => Err(format!("{address}: {why}")),
         },
+        Command::Keeper { leases, seat, log, log_form } => {
+            logger::start(log, log_form);
+            Plan::load(&leases).and_then(|plan| keeper::serve(&plan, &seat))
+        }
+        Command::Lease { leases, call } => Plan::load(&leases).and_then(|plan| staff::call(&plan, &call)),
         Command::Version => {
             println!("honeyknot {}", env!("CARGO_PKG_VERSION"));
             Ok(())
