Leases proven by processes: honeyknot-lab leases, planted faults, pages for staff

Clocks that are skewed and planted faults run the keepers' code in a part of the laboratory, as the program contains neither.

Also: an answer that came late takes the next ask to that keeper. Fleet plans have defaults, so that the three literals of them no longer repeat each field.

--- a/crates/lab/src/fleet/book.rs
+++ b/crates/lab/src/fleet/book.rs
@@ -136,6 +136,17 @@
         /// How.
         how: String,
     },
+    /// The far side of a fleet-wide task was told an effect of an act.
+    Effect {
+        /// The task.
+        task: String,
+        /// By which token.
+        token: u64,
+        /// The act, of all acts of its holder's process.
+        act: String,
+        /// It was taken; else its token was older than one that was seen.
+        taken: bool,
+    },
     /// This part ran late by so much: the machine was the limit.
     Lag {
         /// Microseconds.
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -43,8 +43,8 @@
 /// Relays share links to card servers within this many groups.
 pub const MOST_GROUPS: usize = 60;
 
-/// What every part of a fleet is told at its start.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+/// What every part of a fleet is told at its start. The default is a fleet of nothing.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Plan {
     /// Second byte of all addresses of this fleet.
     pub net: u8,
@@ -74,13 +74,16 @@
     pub part: (usize, usize),
     /// The list service starts with an empty list and fills it over this many milliseconds.
     pub fill_ms: Option<u64>,
+    /// Keepers of leases and their terms, for fleets that have any.
+    pub leases: crate::leases::Keeping,
 }
 
 /// What relays hold when they start.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Held {
     /// A list some versions old.
+    #[default]
     Old,
     /// None.
     Nothing,
@@ -94,7 +97,7 @@
 pub const VERSION: u64 = 41;
 
 impl Plan {
-    fn at(&self, kind: u8, n: usize, port: u16) -> SocketAddr {
+    pub(crate) fn at(&self, kind: u8, n: usize, port: u16) -> SocketAddr {
         let (high, low) = ((n / 200) as u8, (n % 200) as u8);
         SocketAddr::from((Ipv4Addr::new(127, self.net, kind + high, low + 1), port))
     }
@@ -130,10 +133,17 @@
             Link::List(n) => (self.at(30, n, 8500), self.list(n)),
             Link::Front(n) => (self.at(40, n, 5000), self.relay(n)),
             Link::Cards(group, s) => (self.at(100 + group as u8, s, 6000), self.card(s)),
+            Link::Peer(from, to) => (self.at(170, from * 10 + to, 7400), self.keeper(to)),
+            Link::Ask(n, to) => (self.at(171 + 4 * to as u8, n, 7400), self.keeper(to)),
         }
     }
 
-    fn linked(&self, kind: &str) -> bool {
+    /// Where a keeper listens, from 1.
+    pub fn keeper(&self, number: usize) -> SocketAddr {
+        self.at(169, number, 7400)
+    }
+
+    pub(crate) fn linked(&self, kind: &str) -> bool {
         self.links.iter().any(|k| k == kind)
     }
 
@@ -169,6 +179,15 @@
         if self.linked("cards") {
             all.extend((0..self.groups()).flat_map(|g| (0..self.cards).map(move |s| Link::Cards(g, s))));
         }
+        let keepers = 1..=self.leases.keepers;
+        if self.linked("peer") {
+            let others =
+                |from| keepers.clone().filter(move |to| *to != from).map(move |to| Link::Peer(from, to));
+            all.extend(keepers.clone().flat_map(others));
+        }
+        if self.linked("ask") {
+            all.extend((0..self.relays).flat_map(|n| keepers.clone().map(move |to| Link::Ask(n, to))));
+        }
         all
     }
 }
@@ -182,6 +201,10 @@
     Front(usize),
     /// From a group of relays to a card server.
     Cards(usize, usize),
+    /// From a keeper to another.
+    Peer(usize, usize),
+    /// From a holder of leases to a keeper.
+    Ask(usize, usize),
 }
 
 /// A stretch of numbers, `7` or `0-99`, if it is well written.
@@ -197,7 +220,7 @@
 }
 
 /// Sends a signal to a process, unless it is gone.
-fn send(child: &Child, signal: Signal) {
+pub(crate) fn send(child: &Child, signal: Signal) {
     if let Some(pid) = child.id().and_then(|id| Pid::from_raw(id as i32)) {
         let _ = kill_process(pid, signal);
     }
@@ -210,6 +233,9 @@
         match (self, &words[..]) {
             (Link::List(n), ["list", p]) | (Link::Front(n), ["front", p]) => among(p, n),
             (Link::Cards(g, s), ["cards", group, card]) => among(group, g) && among(card, s),
+            (Link::Peer(from, to), ["peer", p, q]) | (Link::Ask(from, to), ["ask", p, q]) => {
+                among(p, from) && among(q, to)
+            }
             _ => false,
         }
     }
--- a/crates/lab/src/fleet/report.rs
+++ b/crates/lab/src/fleet/report.rs
@@ -283,7 +283,11 @@
                 told.clear();
             }
             Seen::Lag { us } => r.lag_ms = r.lag_ms.max(us / 1_000),
-            Seen::Ended { .. } | Seen::Unreached { .. } | Seen::Act { .. } | Seen::Gone { .. } => {}
+            Seen::Ended { .. }
+            | Seen::Unreached { .. }
+            | Seen::Act { .. }
+            | Seen::Gone { .. }
+            | Seen::Effect { .. } => {}
         }
     }
     r.overlapping_attempts += out.values().filter(|tries| tries.len() > 1).count() as u64;
--- a/crates/lab/src/fleet/run.rs
+++ b/crates/lab/src/fleet/run.rs
@@ -26,13 +26,13 @@
 const OWED: Duration = Duration::from_millis(1_700);
 
 /// A part's process.
-struct Part {
-    child: Child,
+pub(crate) struct Part {
+    pub(crate) child: Child,
     steer: ChildStdin,
 }
 
 impl Part {
-    async fn start(lab: &PathBuf, kind: &str, plan: &Plan) -> Result<Part, String> {
+    pub(crate) async fn start(lab: &PathBuf, kind: &str, plan: &Plan) -> Result<Part, String> {
         let mut command = Command::new(lab);
         command.args(["part", kind]).stdin(Stdio::piped()).stdout(Stdio::piped()).kill_on_drop(true);
         let mut child = command.spawn().map_err(|e| format!("{}: {e}", lab.display()))?;
@@ -52,16 +52,16 @@
         }
     }
 
-    async fn tell(&mut self, line: &str) {
+    pub(crate) async fn tell(&mut self, line: &str) {
         // One that is stopped or gone hears nothing; the script may want that.
         let _ = self.steer.write_all(format!("{line}\n").as_bytes()).await;
     }
 
-    fn signal(&self, signal: Signal) {
+    pub(crate) fn signal(&self, signal: Signal) {
         send(&self.child, signal);
     }
 
-    async fn end(mut self) {
+    pub(crate) async fn end(mut self) {
         self.signal(Signal::CONT);
         drop(self.steer);
         if timeout(Duration::from_secs(5), self.child.wait()).await.is_err() {
--- /dev/null
+++ b/crates/lab/src/leases/report.rs
@@ -0,0 +1,120 @@
+//! What a day of leases came to, by the far side's book alone.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::Serialize;
+
+use crate::fleet::book::{Line, Seen};
+
+/// The figures of a day.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Report {
+    /// What was played.
+    pub scenario: String,
+    /// Keepers.
+    pub keepers: usize,
+    /// Holders.
+    pub relays: usize,
+    /// Of everything that is drawn.
+    pub seed: u64,
+    /// Acts that had an effect.
+    pub acts: usize,
+    /// Effects that the far side took.
+    pub effects: usize,
+    /// Times that a task came to another token.
+    pub holder_changes: usize,
+    /// Acts with an effect after one of a later token's act, where the far side does not check.
+    pub overlapping_acts: usize,
+    /// Effects with an older token that a far side which checks took.
+    pub stale_writes_accepted: usize,
+    /// Those that it turned down.
+    pub stale_writes_turned_down: usize,
+    /// New tokens that were lower than one seen before.
+    pub token_went_back: usize,
+    /// The longest that nobody acted on a task, after its first act.
+    pub longest_without_holder_s: f64,
+    /// The lease.
+    pub lease_s: f64,
+    /// Processor time of all keepers over the day's length, in cores.
+    pub keeper_cpu: f64,
+    /// The largest keeper's memory.
+    pub keeper_rss_mb: f64,
+    /// Faults that were injected.
+    pub faults: usize,
+    /// The far side or the links ran late by this much at the most.
+    pub lag_ms: u64,
+    /// The machine was the limit: the day does not count.
+    pub starved: bool,
+    /// Promises that were broken.
+    pub broken: Vec<String>,
+}
+
+impl Report {
+    /// Counts a book's lines up to the day's end.
+    pub fn count(&mut self, lines: &[Line], ended: u64) {
+        let mut tasks: BTreeMap<&str, Task> = BTreeMap::new();
+        for line in lines {
+            match &line.seen {
+                Seen::Effect { task, token, act, taken } => {
+                    let checked = task.starts_with("checked");
+                    let seen = tasks.entry(task).or_default();
+                    self.effects += usize::from(*taken);
+                    if seen.tokens.insert(*token) && *token < seen.newest {
+                        self.token_went_back += 1;
+                    }
+                    if *token < seen.newest {
+                        match (checked, taken) {
+                            (true, true) => self.stale_writes_accepted += 1,
+                            (true, false) => self.stale_writes_turned_down += 1,
+                            (false, _) => drop(seen.late.insert(act)),
+                        }
+                    }
+                    if seen.acts.insert(act) {
+                        self.acts += 1;
+                    }
+                    if *token > seen.newest {
+                        self.holder_changes += usize::from(seen.newest > 0);
+                        seen.newest = *token;
+                    }
+                    if seen.last > 0 {
+                        let gap = line.t.saturating_sub(seen.last) as f64 / 1e6;
+                        self.longest_without_holder_s = self.longest_without_holder_s.max(gap);
+                    }
+                    seen.last = line.t;
+                }
+                Seen::Lag { us } => self.lag_ms = self.lag_ms.max(us / 1_000),
+                _ => {}
+            }
+        }
+        self.overlapping_acts = tasks.values().map(|task| task.late.len()).sum();
+        self.starved = self.lag_ms > 500;
+        if self.overlapping_acts > 0 {
+            self.broken.push(format!("{} acts overlapped one of a later token", self.overlapping_acts));
+        }
+        if self.stale_writes_accepted > 0 {
+            self.broken
+                .push(format!("{} writes of an older token were accepted", self.stale_writes_accepted));
+        }
+        if self.token_went_back > 0 {
+            self.broken.push(format!("{} new tokens were lower than one before", self.token_went_back));
+        }
+        if self.acts == 0 {
+            self.broken.push("nobody ever acted".into());
+        }
+        for (name, task) in tasks {
+            let still = (ended.saturating_sub(task.last)) as f64 / 1e6;
+            if still > 4.0 * self.lease_s {
+                self.broken.push(format!("nobody acted on {name} in the last {still:.1} s"));
+            }
+        }
+    }
+}
+
+#[derive(Default)]
+struct Task<'a> {
+    newest: u64,
+    last: u64,
+    tokens: BTreeSet<u64>,
+    acts: BTreeSet<&'a str>,
+    late: BTreeSet<&'a str>,
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod books;
 pub mod day;
 pub mod fleet;
+pub mod leases;
 pub mod model;
 pub mod scenario;
 pub mod simulated;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -9,6 +9,7 @@
 use honeyknot_lab::day::{Day, Report, SPILL_SLACK, play};
 use honeyknot_lab::fleet;
 use honeyknot_lab::fleet::starts::ColdStart;
+use honeyknot_lab::leases;
 use honeyknot_lab::scenario::Scenario;
 use honeyknot_lab::simulated::{Simulation, simulate};
 use honeyknot_lab::world::{Size, World};
@@ -61,6 +62,8 @@
     },
     /// Start a whole fleet of processes at once, with faults between them, and print what the far side counted.
     ColdStart(FleetArgs),
+    /// Keepers and holders of leases as processes, with faults between them, and what their far side counted.
+    Leases(LeaseArgs),
     /// Run a part of a fleet.
     #[command(hide = true)]
     Part {
@@ -78,6 +81,9 @@
     Clients,
     Links,
     Relays,
+    Far,
+    Holder,
+    Keeper,
 }
 
 #[derive(Args)]
@@ -120,6 +126,43 @@
     json: bool,
 }
 
+#[derive(Args)]
+struct LeaseArgs {
+    /// What goes wrong while tasks are held.
+    #[arg(long, value_enum, default_value = "steady")]
+    scenario: leases::run::Scenario,
+    /// Keepers.
+    #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u8).range(1..=7))]
+    keepers: u8,
+    /// Holders.
+    #[arg(long, default_value_t = 8, value_parser = clap::value_parser!(u16).range(1..=400))]
+    relays: u16,
+    /// Tasks; the far side checks the tokens of every second one.
+    #[arg(long, default_value_t = 6)]
+    tasks: u16,
+    /// How long a lease lasts, in milliseconds.
+    #[arg(long, default_value_t = 1_000, value_parser = clap::value_parser!(u64).range(500..=60_000))]
+    lease_ms: u64,
+    /// How long the day is, in seconds.
+    #[arg(long, default_value_t = 30, value_parser = clap::value_parser!(u64).range(10..=600))]
+    length: u64,
+    /// Seeds the faults and what holders do.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Plant a fault, which the day must show.
+    #[arg(long, value_name = "NAME")]
+    planted: Option<String>,
+    /// The keepers' program; without it, the one beside this program.
+    #[arg(long, value_name = "FILE")]
+    program: Option<PathBuf>,
+    /// Keep books, logs and the keepers' folders in this folder, which must be new or empty.
+    #[arg(long, value_name = "FOLDER")]
+    logs: Option<PathBuf>,
+    /// Print one JSON object as the last line.
+    #[arg(long)]
+    json: bool,
+}
+
 #[derive(Args)]
 struct WorldArgs {
     /// Seeds the world, the clients and the relays.
@@ -286,6 +329,9 @@
         PartKind::Clients => fleet::part(fleet::clients::start).await,
         PartKind::Links => fleet::part(fleet::links::start).await,
         PartKind::Relays => fleet::part(fleet::relays::start).await,
+        PartKind::Far => fleet::part(leases::far::start).await,
+        PartKind::Holder => fleet::part(leases::holder::start).await,
+        PartKind::Keeper => leases::keeper::part(),
     }
 }
 
@@ -300,6 +346,7 @@
     match command {
         Command::Part { .. } => Ok(true),
         Command::ColdStart(args) => cold_start(args, folder.path()).await,
+        Command::Leases(args) => play_leases(args, folder.path()).await,
         Command::Try { length, world } => {
             let mut day = day(&world, Scenario::Show, folder.path())?;
             day.length = length;
@@ -338,10 +385,9 @@
     }
 }
 
-/// Plays a cold start.
-async fn cold_start(args: FleetArgs, folder: &std::path::Path) -> Result<bool, String> {
-    let relays = usize::from(args.relays);
-    let folder = args.logs.clone().unwrap_or_else(|| folder.to_owned());
+/// The folder of a day's books: the one that was named, which must hold nothing yet, or one of its own.
+fn books(named: Option<PathBuf>, own: &std::path::Path) -> Result<PathBuf, String> {
+    let folder = named.unwrap_or_else(|| own.to_owned());
     let told = |e: std::io::Error| format!("{}: {e}", folder.display());
     std::fs::create_dir_all(&folder).map_err(told)?;
     if std::fs::read_dir(&folder).map_err(told)?.next().is_some() {
@@ -350,6 +396,56 @@
             folder.display()
         ));
     }
+    Ok(folder)
+}
+
+/// Plays a day of leases.
+async fn play_leases(args: LeaseArgs, own: &std::path::Path) -> Result<bool, String> {
+    let folder = books(args.logs, own)?;
+    if let Some(name) = &args.planted {
+        leases::fault(name)?;
+    }
+    let net = fleet::run::Net::take(args.seed)?;
+    let plan = fleet::Plan {
+        net: net.number,
+        seed: args.seed,
+        relays: usize::from(args.relays),
+        folder,
+        program: args.program.map_or_else(honeyknot_lab::world::relays::program, Ok)?,
+        leases: leases::Keeping {
+            keepers: usize::from(args.keepers),
+            lease_ms: args.lease_ms,
+            tasks: usize::from(args.tasks),
+            planted: args.planted,
+            ..leases::Keeping::default()
+        },
+        ..fleet::Plan::default()
+    };
+    let lab = std::env::current_exe().map_err(|e| format!("this program's place is unknown: {e}"))?;
+    let length = std::time::Duration::from_secs(args.length);
+    let report = leases::run::play(plan, args.scenario, length, lab, interrupted()).await?;
+    if report.starved {
+        eprintln!(
+            "a part ran {} ms late: the machine was the limit, and this day does not count",
+            report.lag_ms
+        );
+    }
+    if args.json {
+        println!("{}", serde_json::to_string(&report).map_err(|e| e.to_string())?);
+    } else {
+        println!("{}", serde_json::to_string_pretty(&report).map_err(|e| e.to_string())?);
+        match report.broken.is_empty() {
+            true => println!("all promises held"),
+            false => println!("BROKEN: {}", report.broken.join("; ")),
+        }
+    }
+    Ok(report.broken.is_empty() && !report.starved)
+}
+
+/// Plays a cold start.
+async fn cold_start(args: FleetArgs, folder: &std::path::Path) -> Result<bool, String> {
+    let relays = usize::from(args.relays);
+    let folder = books(args.logs.clone(), folder)?;
     let script = match &args.faults {
         Some(file) => {
             let text = std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?;
@@ -372,7 +468,7 @@
         folder,
         program: args.program.map_or_else(honeyknot_lab::world::relays::program, Ok)?,
         part: (0, 1),
-        fill_ms: None,
+        ..fleet::Plan::default()
     };
     let lab = std::env::current_exe().map_err(|e| format!("this program's place is unknown: {e}"))?;
     let day = fleet::run::play(&plan, &script, lab, interrupted()).await?;
--- a/crates/lab/tests/cold_start.rs
+++ b/crates/lab/tests/cold_start.rs
@@ -39,7 +39,7 @@
         folder: folder.path().to_owned(),
         program: program(),
         part: (0, 1),
-        fill_ms: None,
+        ..Plan::default()
     };
     let script = script::read("day", day.text).expect("a sound script");
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
--- a/crates/lab/tests/fleet.rs
+++ b/crates/lab/tests/fleet.rs
@@ -29,7 +29,7 @@
         folder: folder.to_owned(),
         program: PathBuf::from("/nowhere"),
         part: (0, 1),
-        fill_ms: None,
+        ..Plan::default()
     }
 }
 
--- /dev/null
+++ b/crates/lab/tests/leases.rs
@@ -0,0 +1,91 @@
+//! Keepers and holders as processes, with faults between them. The far side's book is the judge; planted faults must show.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use honeyknot_lab::fleet::Plan;
+use honeyknot_lab::fleet::run::Net;
+use honeyknot_lab::leases::Keeping;
+use honeyknot_lab::leases::report::Report;
+use honeyknot_lab::leases::run::{Scenario, play};
+
+/// A day of three keepers and eight holders with leases of a second.
+fn day(scenario: Scenario, planted: Option<&str>, seed: u64, seconds: u64) -> Report {
+    let lab = PathBuf::from(env!("CARGO_BIN_EXE_honeyknot-lab"));
+    let program = lab.with_file_name("honeyknot");
+    assert!(program.is_file(), "build the whole workspace first: cargo build --workspace");
+    let folder = tempfile::tempdir().expect("a folder");
+    let net = Net::take(seed).expect("free addresses");
+    let plan = Plan {
+        net: net.number,
+        seed,
+        relays: 8,
+        folder: folder.path().to_owned(),
+        program,
+        leases: Keeping {
+            keepers: 3,
+            lease_ms: 1_000,
+            tasks: 6,
+            planted: planted.map(str::to_owned),
+            ..Keeping::default()
+        },
+        ..Plan::default()
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let day = play(plan, scenario, Duration::from_secs(seconds), lab, std::future::pending());
+    runtime.block_on(day).expect("a day is played")
+}
+
+fn holds(scenario: Scenario, seed: u64) {
+    let report = day(scenario, None, seed, 15);
+    assert!(report.broken.is_empty() || report.starved, "{report:?}");
+    assert!(report.acts > 50 && report.holder_changes > 3 && report.faults > 0, "{report:?}");
+}
+
+/// A planted fault shows on one of a few days: when it meets its moment is the machine's to say.
+fn shows(scenario: Scenario, planted: &str, broken: &str) {
+    let mut seen = Vec::new();
+    for seed in [1, 3, 5, 7, 9] {
+        let report = day(scenario, Some(planted), seed, 15);
+        if report.broken.iter().any(|what| what.contains(broken)) {
+            return;
+        }
+        seen.push(report);
+    }
+    panic!("{planted} does not show: {seen:?}");
+}
+
+#[test]
+fn a_holder_that_stands_still_in_the_middle_of_an_act_acts_no_more() {
+    holds(Scenario::Pause, 11);
+}
+
+#[test]
+fn a_leader_that_stands_still_or_is_killed_gives_nothing_away_twice() {
+    holds(Scenario::Leader, 12);
+}
+
+#[test]
+fn a_holder_that_is_heard_and_hears_nothing_and_keepers_cut_one_way() {
+    holds(Scenario::OneWay, 13);
+}
+
+#[test]
+fn one_of_an_old_and_a_new_process_acts_whichever_is_killed() {
+    holds(Scenario::Upgrade, 14);
+}
+
+#[test]
+fn a_permit_that_is_not_looked_at_again_shows() {
+    shows(Scenario::Pause, "permit-not-checked", "overlapped");
+}
+
+#[test]
+fn a_leader_that_forgets_leases_shows() {
+    shows(Scenario::Leader, "forgets-leases", "overlapped");
+}
+
+#[test]
+fn a_drift_that_nobody_reckons_with_shows() {
+    shows(Scenario::Skew, "no-drift", "overlapped");
+}
--- a/crates/leases/src/claims.rs
+++ b/crates/leases/src/claims.rs
@@ -56,6 +56,7 @@
 
 struct Flight {
     id: u64,
+    keeper: u64,
     asked: Asked,
     until: Micros,
     commands: Vec<Command>,
@@ -177,8 +178,13 @@
         self.next_id += 1;
         // Long enough for an election in between, short enough for another try within the lease.
         let until = now + self.terms.lease / 4;
-        self.flight =
-            Some(Flight { id: self.next_id, asked: Holder::asks(now), until, commands: commands.clone() });
+        self.flight = Some(Flight {
+            id: self.next_id,
+            keeper: self.keeper,
+            asked: Holder::asks(now),
+            until,
+            commands: commands.clone(),
+        });
         Some(Sending { keeper: self.keeper, id: self.next_id, commands })
     }
 
@@ -191,6 +197,10 @@
         };
         let Some(flight) = flight.filter(|flight| flight.commands.len() == said.len()) else { return };
         (self.failures, self.unheard) = (0, 0);
+        if late.is_some() {
+            // It was slow, not gone: the next ask goes there again, and at once if one is due.
+            (self.keeper, self.rest) = (flight.keeper, now);
+        }
         for (command, said) in flight.commands.iter().zip(said) {
             let Some(claim) = self.tasks.get_mut(command.task()) else { continue };
             match (command, said.answer) {
--- a/src/leases/staff.rs
+++ b/src/leases/staff.rs
@@ -150,7 +150,8 @@
     Err(format!("no keeper that leads has answered; {}", troubles.join("; ")))
 }
 
-async fn ask_one(at: SocketAddr, hello: &Hello, commands: &[Command]) -> io::Result<Told> {
+/// Asks one keeper once.
+pub async fn ask_one(at: SocketAddr, hello: &Hello, commands: &[Command]) -> io::Result<Told> {
     let stream = TcpStream::connect(at).await?;
     stream.set_nodelay(true)?;
     let (from, mut to) = stream.into_split();
