--- a/crates/leases/src/book.rs
+++ b/crates/leases/src/book.rs
@@ -25,7 +25,7 @@
 pub struct Token(pub u64);
 
 /// A slot of a task that somebody holds.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Lease {
     /// Who.
     pub holder: String,
@@ -39,7 +39,7 @@
     pub revoked: bool,
 }
 
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 struct Task {
     last_token: u64,
     leases: Vec<Lease>,
@@ -145,7 +145,7 @@
 }
 
 /// The book.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Book {
     tokens_from: u64,
     held: usize,
--- a/crates/leases/src/holder.rs
+++ b/crates/leases/src/holder.rs
@@ -25,6 +25,44 @@
     Acting,
 }
 
+/// What a holder knows, as plain data: for a model that copies it.
+#[cfg(feature = "planted")]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Known {
+    /// The token held, and until when.
+    pub held: Option<(Token, Micros)>,
+    /// The last lease that has ended here.
+    pub ended: Token,
+    /// Acts under way.
+    pub acting: usize,
+}
+
+#[cfg(feature = "planted")]
+impl Holder {
+    /// A holder that knows this.
+    pub fn knowing(terms: Terms, known: Known) -> Holder {
+        Holder { terms, held: known.held, ended: known.ended, acts: Rc::new(Cell::new(known.acting)) }
+    }
+
+    /// What it knows.
+    pub fn known(&self) -> Known {
+        Known { held: self.held, ended: self.ended, acting: self.acts.get() }
+    }
+}
+
+#[cfg(feature = "planted")]
+impl Permit {
+    /// A permit of these parts, of a holder that counts its acts elsewhere.
+    pub fn of(terms: Terms, token: Token, until: Micros) -> Permit {
+        Permit { token, until, terms, acts: Rc::default() }
+    }
+
+    /// Its token, and until when it holds.
+    pub fn parts(&self) -> (Token, Micros) {
+        (self.token, self.until)
+    }
+}
+
 /// One relay's hold on a task.
 #[derive(Debug)]
 pub struct Holder {
--- a/crates/leases/src/lib.rs
+++ b/crates/leases/src/lib.rs
@@ -17,6 +17,8 @@
     Token,
 };
 pub use claims::{Claims, Said, Sending, Wish};
+#[cfg(feature = "planted")]
+pub use holder::Known;
 pub use holder::{Asked, Holder, NotNow, Permit};
 pub use turnstile::Turnstile;
 pub use watchman::Watchman;
@@ -25,7 +27,7 @@
 pub type Micros = u64;
 
 /// What keepers and holders have in common. Both must be told the same.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Terms {
     /// How long a lease lasts.
     pub lease: Micros,
@@ -40,7 +42,7 @@
 
 /// Faults that the proofs must see.
 #[cfg(feature = "planted")]
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Planted {
     /// The holder counts from the answer.
     CountsFromAnswer,
--- a/crates/leases/src/watchman.rs
+++ b/crates/leases/src/watchman.rs
@@ -5,7 +5,7 @@
 use crate::{Book, Command, Micros, Terms, Token, planted};
 
 /// A lease as one keeper counts it.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 struct Count {
     renewals: u64,
     known: Micros,
@@ -13,7 +13,7 @@
 }
 
 /// Counts leases by the steady clock of its keeper, and proposes to expire those that have run out.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Watchman {
     terms: Terms,
     counted: BTreeMap<String, Vec<(Token, Count)>>,
