A folder that was half founded is founded again; full disks and lost folders tested

Found by the new test, which fails without it. Tests: a keeper whose disk is full ends with words and comes back when there is room; with two of three folders lost nothing is given until all are founded above.

--- a/src/keeper/disk.rs
+++ b/src/keeper/disk.rs
@@ -74,20 +74,10 @@
             (true, Some(_)) => return Err(format!("{path} is there already: start without --found")),
             _ => {}
         }
-        if !there {
-            std::fs::create_dir_all(folder).map_err(|why| format!("{}: {why}", folder.display()))?;
-        }
-        let opened = if there { Database::open(&file) } else { Database::create(&file) };
-        let base = opened.map_err(|why| match why {
-            DatabaseError::DatabaseAlreadyOpen => format!("{path} is in use by another process"),
-            why => format!("{path}: {why}"),
-        })?;
-        let disk = Disk { base, path };
         if let Some(tokens_from) = found {
-            let mark = OsRng.try_next_u64().map_err(|why| format!("the system gives no chance: {why}"))?;
-            let founded = Founded { founding: founding.clone(), tokens_from, mark };
-            disk.change(|tables| tables.keep("founded", &founded))?;
+            create(folder, &file, &founding, tokens_from)?;
         }
+        let disk = Disk { base: Database::open(&file).map_err(|why| unopened(&path, why))?, path };
         let found = disk.read(&founding)?;
         Ok((disk, found))
     }
@@ -177,6 +167,34 @@
     }
 }
 
+fn unopened(path: &str, why: DatabaseError) -> String {
+    match why {
+        DatabaseError::DatabaseAlreadyOpen => format!("{path} is in use by another process"),
+        why => format!("{path}: {why}"),
+    }
+}
+
+/// Makes a folder's file under another name until it is whole: what a full disk or a kill leaves half founded is neither opened
+/// nor in the way of the next try.
+fn create(folder: &Path, file: &Path, founding: &Founding, tokens_from: u64) -> Result<(), String> {
+    std::fs::create_dir_all(folder).map_err(|why| format!("{}: {why}", folder.display()))?;
+    let half = file.with_extension("founding");
+    let path = half.display().to_string();
+    let told = |why: std::io::Error| format!("{path}: {why}");
+    if half.try_exists().map_err(told)? {
+        std::fs::remove_file(&half).map_err(told)?;
+    }
+    let mark = OsRng.try_next_u64().map_err(|why| format!("the system gives no chance: {why}"))?;
+    let base = Database::create(&half).map_err(|why| unopened(&path, why))?;
+    let disk = Disk { base, path: path.clone() };
+    let founded = Founded { founding: founding.clone(), tokens_from, mark };
+    disk.change(|tables| tables.keep("founded", &founded))?;
+    drop(disk);
+    std::fs::rename(&half, file).map_err(told)?;
+    // The new name has to last as well.
+    std::fs::File::open(folder).and_then(|folder| folder.sync_all()).map_err(told)
+}
+
 type Trouble = Box<dyn std::error::Error>;
 
 struct Tables<'t> {
--- a/tests/keepers.rs
+++ b/tests/keepers.rs
@@ -169,6 +169,76 @@
     assert_eq!(keepers.acquire("probes", "b"), Answer::No(Refusal::Taken));
 }
 
+#[test]
+fn with_two_folders_lost_nothing_is_given_until_all_are_founded_above_what_was() {
+    let mut keepers = Keepers::new("two-lost");
+    (1..=3).for_each(|number| keepers.start(number, Some(0)));
+    assert_eq!(keepers.acquire("probes", "a"), Answer::Held(Token(1)));
+    (1..=3).for_each(|number| keepers.kill(number));
+    for lost in ["k2", "k3"] {
+        std::fs::remove_dir_all(keepers.folder.join(lost)).unwrap();
+    }
+    keepers.start(1, None);
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let asked = runtime.block_on(staff::ask(&keepers.plan, Vec::new()));
+    assert!(asked.is_err(), "{asked:?}");
+    keepers.kill(1);
+    std::fs::remove_dir_all(keepers.folder.join("k1")).unwrap();
+    (1..=3).for_each(|number| keepers.start(number, Some(1_000)));
+    assert_eq!(keepers.acquire("probes", "b"), Answer::Held(Token(1_001)));
+}
+
+#[test]
+fn a_keeper_whose_disk_is_full_ends_with_words_and_the_others_go_on() {
+    let mut keepers = Keepers::new("full");
+    // Under `sh`, no file of a process may grow beyond so many blocks: a write fails as on a full disk.
+    let full = |keepers: &Keepers, found, blocks: u64| {
+        let keeper = keepers.command(3, found);
+        let mut command = Command::new("sh");
+        command.arg("-c").arg(format!("trap '' XFSZ; ulimit -f {blocks}; exec \"$0\" \"$@\""));
+        command.arg(keeper.get_program()).args(keeper.get_args());
+        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped()).spawn().unwrap()
+    };
+    let words = |child: Child| {
+        let output = child.wait_with_output().unwrap();
+        let said = String::from_utf8(output.stderr).unwrap();
+        assert_eq!(output.status.code(), Some(2), "{said}");
+        said.lines().last().unwrap_or_default().to_owned()
+    };
+    // Not even founded; then there is room, and the half that is there is not in the way.
+    let said = words(full(&keepers, Some(0), 1));
+    assert!(said.contains("k3/keeper.founding: ") && said.contains("File too large"), "{said}");
+    (1..=3).for_each(|number| keepers.start(number, Some(0)));
+    assert!(matches!(keepers.acquire("probes", "a"), Answer::Held(_)));
+    keepers.kill(3);
+    let length = std::fs::metadata(keepers.folder.join("k3/keeper.redb")).unwrap().len();
+    let child = full(&keepers, None, length / 512 + 64);
+    keepers.running[2] = Some(child);
+    let until = Instant::now() + Duration::from_secs(60);
+    for n in 0.. {
+        // Tasks are never forgotten: the book grows, and the log with it.
+        let many = (0..200).map(|m| Lease::Acquire {
+            task: format!("task-{n}-{m}-{}", "x".repeat(90)),
+            slots: 1,
+            holder: "a".into(),
+            nonce: 1,
+            unheard: 0,
+        });
+        let Told::Answers(said) = keepers.ask(many.collect()) else { panic!("no answers") };
+        assert_eq!(said.len(), 200);
+        if keepers.running[2].as_mut().unwrap().try_wait().unwrap().is_some() {
+            break;
+        }
+        assert!(Instant::now() < until, "it still runs after {n} rounds");
+    }
+    let said = words(keepers.running[2].take().unwrap());
+    assert!(said.contains("k3/keeper.redb: ") && said.contains("File too large"), "{said}");
+    // With room again it comes back and counts.
+    keepers.start(3, None);
+    keepers.kill(1);
+    assert!(matches!(keepers.acquire("after", "b"), Answer::Held(_)));
+}
+
 #[test]
 fn strangers_are_told_why_they_are_turned_away() {
     let mut keepers = Keepers::new("strangers");
