--- a/tests/keepers.rs
+++ b/tests/keepers.rs
@@ -1,9 +1,10 @@
 //! Keepers as processes of the program: folders, the wire, what all of them remember when they are killed at once.
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
 
 use honeyknot::leases::plan::Plan;
@@ -25,11 +26,13 @@
         let folder = std::env::temp_dir().join(format!("honeyknot-keepers-{name}-{}", std::process::id()));
         let _ = std::fs::remove_dir_all(&folder);
         std::fs::create_dir_all(&folder).unwrap();
-        // Free a moment ago; nothing else on the machine takes them between.
-        let sockets: Vec<TcpListener> = (0..3).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
+        // Loopback addresses of this process and test alone, with a port that nobody is given by chance.
+        static TESTS: AtomicU8 = AtomicU8::new(0);
+        let (pid, test) = (std::process::id(), TESTS.fetch_add(1, Ordering::Relaxed));
         let mut text = "fleet test\nlease 1500ms\nelection 300ms\n".to_owned();
-        for (n, socket) in sockets.iter().enumerate() {
-            text += &format!("keeper {} {}\n", n + 1, socket.local_addr().unwrap());
+        for n in 1..=3 {
+            let (high, low) = ((pid >> 8) as u8, pid as u8);
+            text += &format!("keeper {n} 127.{}.{low}.{}:7401\n", 128 | high, 4 * test + n);
         }
         std::fs::write(folder.join("leases.conf"), &text).unwrap();
         let plan = Plan::read("leases.conf", &text).unwrap();
