Read the whole change: one dial, one card server's talk, marks written once, writes moved

- wire::dial and wire::send take the place of three diallings and four sends under a time limit.
- A keeper wrote the known mark of another's folder to disk at each greeting; it looks first.
- Keeper::written takes the write back, so that its entries are moved and not copied once more.
- Claims::failed is told whom to ask next instead of being put right after it; Disk::read has one place that names the file; Keeper::book was used by nobody.

--- a/crates/conf/src/units.rs
+++ b/crates/conf/src/units.rs
@@ -25,6 +25,12 @@
     }
 }
 
+/// A span of time as [`duration`] reads it; the value is in microseconds.
+pub fn micros(range: RangeInclusive<Duration>) -> impl Fn(&str) -> Read<u64> {
+    let read = duration(range);
+    move |word| read(word).map(|span| span.as_micros() as u64)
+}
+
 /// A share in percent, such as `25%`; the value is a part of 1.
 pub fn share(range: RangeInclusive<f64>) -> impl Fn(&str) -> Read<f64> {
     move |word| {
--- a/crates/lab/src/asked.rs
+++ b/crates/lab/src/asked.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use tokio::io::{AsyncBufReadExt, BufReader};
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
 
 use crate::model::Report;
@@ -37,8 +37,30 @@
     Some(Query { since: number("index"), wait })
 }
 
+/// Answers pings and probes on a connection to a card server until a session's first line comes: its id and figures; none where the
+/// connection ends before.
+pub async fn first_line(
+    stream: &mut BufReader<TcpStream>, mut report: impl FnMut() -> Report,
+) -> Option<(String, String)> {
+    let mut line = String::new();
+    loop {
+        line.clear();
+        match stream.read_line(&mut line).await {
+            Ok(n) if n > 0 && line.len() <= 4096 => {}
+            _ => return None,
+        }
+        let answer = match line.trim_end().split(' ').collect::<Vec<_>>()[..] {
+            ["PING"] => "PONG\r\n".to_owned(),
+            ["STATS"] => probed(&report()),
+            ["OPEN", id, _, figures] => return Some((id.to_owned(), figures.to_owned())),
+            _ => "SYNTAX\r\n".to_owned(),
+        };
+        stream.write_all(answer.as_bytes()).await.ok()?;
+    }
+}
+
 /// A card server's answer to a probe.
-pub fn probed(report: &Report) -> String {
+fn probed(report: &Report) -> String {
     let Report { util, latency_ms, x0 } = report;
     format!("PONG util={util:.3},latency_ms={latency_ms:.1},x0={x0:.3}\r\n")
 }
--- a/crates/lab/src/fleet/cards.rs
+++ b/crates/lab/src/fleet/cards.rs
@@ -12,7 +12,7 @@
 
 use super::Plan;
 use super::book::{Book, Seen};
-use crate::asked::{deck, probed};
+use crate::asked::{deck, first_line};
 use crate::model::{CardModel, Held, Make, Opened};
 
 /// Usual sessions that fill a card server at the least; more where the clients are many.
@@ -135,26 +135,13 @@
     }
     let mut seat = Seat { card: card.clone(), session: None, out: None };
     let mut stream = BufReader::new(stream);
-    let mut line = String::new();
-    loop {
-        line.clear();
-        match stream.read_line(&mut line).await {
-            Ok(n) if n > 0 && line.len() <= 4096 => {}
-            _ => return,
-        }
-        let answer = match line.trim_end().split(' ').collect::<Vec<_>>()[..] {
-            ["PING"] => "PONG\r\n".to_owned(),
-            ["STATS"] => {
-                let mut card = card.borrow_mut();
-                card.book.enter(Seen::Probe { s: card.s });
-                probed(&card.model.report(super::now()))
-            }
-            ["OPEN", id, _, figures] => return session(&mut seat, &mut stream, id, figures).await,
-            _ => "SYNTAX\r\n".to_owned(),
-        };
-        if stream.write_all(answer.as_bytes()).await.is_err() {
-            return;
-        }
+    let probe = || {
+        let mut card = card.borrow_mut();
+        card.book.enter(Seen::Probe { s: card.s });
+        card.model.report(super::now())
+    };
+    if let Some((id, figures)) = first_line(&mut stream, probe).await {
+        session(&mut seat, &mut stream, &id, &figures).await;
     }
 }
 
--- a/crates/lab/src/leases/mod.rs
+++ b/crates/lab/src/leases/mod.rs
@@ -15,7 +15,7 @@
 use std::rc::Rc;
 
 use honeyknot::leases::{Clock, boot_clock, plan};
-use honeyknot_leases::Planted;
+use honeyknot_leases::{Planted, Skewed};
 use serde::{Deserialize, Serialize};
 
 use crate::fleet::{Link, Plan};
@@ -36,7 +36,7 @@
     /// Rates of clocks in parts of a million, by keeper and then by holder; the machine's own where there is none.
     pub skew_ppm: Vec<i64>,
     /// A fault planted in all of them.
-    pub planted: Option<String>,
+    pub planted: Option<Planted>,
 }
 
 impl Keeping {
@@ -45,41 +45,16 @@
         if n % 2 == 1 { format!("checked-{n}") } else { format!("plain-{n}") }
     }
 
-    /// The planted fault, if there is one of that name.
-    pub fn fault(&self) -> Result<Option<Planted>, String> {
-        self.planted.as_deref().map(fault).transpose()
-    }
-
     /// The clock of the process of this place: keepers first, then holders.
     pub fn clock(&self, place: usize) -> Clock {
         let ppm = self.skew_ppm.get(place).copied().unwrap_or(0);
-        Rc::new(move || {
-            let now = boot_clock();
-            (i128::from(now) + i128::from(now) * i128::from(ppm) / 1_000_000) as u64
-        })
+        Rc::new(move || Skewed { offset: 0, ppm }.at(boot_clock()))
     }
 }
 
-/// Faults that can be planted here, by name.
-pub const FAULTS: [(&str, Planted); 9] = [
-    ("counts-from-answer", Planted::CountsFromAnswer),
-    ("no-drift", Planted::NoDrift),
-    ("keeper-counts-from-request", Planted::KeeperCountsFromRequest),
-    ("token-from-memory", Planted::TokenFromMemory),
-    ("forgets-leases", Planted::ForgetsLeases),
-    ("permit-not-checked", Planted::PermitNotChecked),
-    ("early-release", Planted::EarlyRelease),
-    ("old-release", Planted::OldRelease),
-    ("expires-renewed", Planted::ExpiresRenewed),
-];
-
-/// The planted fault of this name.
+/// The planted fault of this name; the error names all that there are.
 pub fn fault(name: &str) -> Result<Planted, String> {
-    let known = FAULTS.iter().find(|(known, _)| *known == name).map(|(_, fault)| *fault);
-    known.ok_or_else(|| {
-        let names: Vec<&str> = FAULTS.iter().map(|(name, _)| *name).collect();
-        format!("{name}: faults that can be planted are {}", names.join(", "))
-    })
+    serde_json::from_value(name.into()).map_err(|why| why.to_string())
 }
 
 impl Plan {
@@ -121,7 +96,7 @@
     /// That file read, with what is planted.
     pub fn leases_plan(&self, text: &str) -> Result<plan::Plan, String> {
         let mut read = plan::Plan::read("leases.conf", text).map_err(|faults| faults.to_string())?;
-        read.terms.planted = self.leases.fault()?;
+        read.terms.planted = self.leases.planted;
         Ok(read)
     }
 }
--- a/crates/lab/src/leases/run.rs
+++ b/crates/lab/src/leases/run.rs
@@ -8,6 +8,7 @@
 
 use honeyknot::leases::plan;
 use honeyknot::leases::staff;
+use honeyknot::leases::wire::{Hello, Who};
 use honeyknot_quorum::Told;
 use rand::Rng;
 use rand_pcg::Pcg64Mcg;
@@ -216,17 +217,11 @@
 
     /// The keeper that leads, as the others say.
     async fn leader(&mut self) -> usize {
-        for number in 1..=self.plan.leases.keepers {
-            let mut one = self.direct.clone();
-            one.keepers.retain(|id, _| *id == number as u64);
-            let hello = honeyknot::leases::wire::Hello::new(
-                honeyknot::leases::wire::Who::Client("harness".into()),
-                &self.direct,
-            );
-            let at = self.direct.keepers[&(number as u64)];
-            let asked = timeout(Duration::from_millis(300), staff::ask_one(at, &hello, &[])).await;
+        let hello = Hello::new(Who::Client("harness".into()), &self.direct);
+        for (number, at) in &self.direct.keepers {
+            let asked = timeout(Duration::from_millis(300), staff::ask_one(*at, &hello, &[])).await;
             match asked {
-                Ok(Ok(Told::Leases(_))) => return number,
+                Ok(Ok(Told::Leases(_))) => return *number as usize,
                 Ok(Ok(Told::Elsewhere(Some(leader)))) => return leader as usize,
                 _ => {}
             }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -13,6 +13,7 @@
 use honeyknot_lab::scenario::Scenario;
 use honeyknot_lab::simulated::{Simulation, simulate};
 use honeyknot_lab::world::{Size, World};
+use honeyknot_leases::Planted;
 use honeyknot_sites::Plan;
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -86,6 +87,20 @@
     Keeper,
 }
 
+/// Of all days of a fleet of processes.
+#[derive(Args)]
+struct DayArgs {
+    /// The program of relays and keepers; without it, the one beside this program.
+    #[arg(long, value_name = "FILE")]
+    program: Option<PathBuf>,
+    /// Keep books, logs and keepers' folders in this folder, which must be new or empty.
+    #[arg(long, value_name = "FOLDER")]
+    logs: Option<PathBuf>,
+    /// Print one JSON object as the last line.
+    #[arg(long)]
+    json: bool,
+}
+
 #[derive(Args)]
 struct FleetArgs {
     /// What goes wrong while the relays start.
@@ -115,15 +130,8 @@
     /// A script of faults instead of the scenario's own.
     #[arg(long, value_name = "SCRIPT")]
     faults: Option<PathBuf>,
-    /// The relays' program; without it, the one beside this program.
-    #[arg(long, value_name = "FILE")]
-    program: Option<PathBuf>,
-    /// Keep books and logs in this folder, which must be new or empty.
-    #[arg(long, value_name = "FOLDER")]
-    logs: Option<PathBuf>,
-    /// Print one JSON object as the last line.
-    #[arg(long)]
-    json: bool,
+    #[command(flatten)]
+    day: DayArgs,
 }
 
 #[derive(Args)]
@@ -150,17 +158,10 @@
     #[arg(long, default_value_t = 1)]
     seed: u64,
     /// Plant a fault, which the day must show.
-    #[arg(long, value_name = "NAME")]
-    planted: Option<String>,
-    /// The keepers' program; without it, the one beside this program.
-    #[arg(long, value_name = "FILE")]
-    program: Option<PathBuf>,
-    /// Keep books, logs and the keepers' folders in this folder, which must be new or empty.
-    #[arg(long, value_name = "FOLDER")]
-    logs: Option<PathBuf>,
-    /// Print one JSON object as the last line.
-    #[arg(long)]
-    json: bool,
+    #[arg(long, value_name = "NAME", value_parser = leases::fault)]
+    planted: Option<Planted>,
+    #[command(flatten)]
+    day: DayArgs,
 }
 
 #[derive(Args)]
@@ -401,17 +402,14 @@
 
 /// Plays a day of leases.
 async fn play_leases(args: LeaseArgs, own: &std::path::Path) -> Result<bool, String> {
-    let folder = books(args.logs, own)?;
-    if let Some(name) = &args.planted {
-        leases::fault(name)?;
-    }
+    let folder = books(args.day.logs, own)?;
     let net = fleet::run::Net::take(args.seed)?;
     let plan = fleet::Plan {
         net: net.number,
         seed: args.seed,
         relays: usize::from(args.relays),
         folder,
-        program: args.program.map_or_else(honeyknot_lab::world::relays::program, Ok)?,
+        program: args.day.program.map_or_else(honeyknot_lab::world::relays::program, Ok)?,
         leases: leases::Keeping {
             keepers: usize::from(args.keepers),
             lease_ms: args.lease_ms,
@@ -425,7 +423,7 @@
     let length = std::time::Duration::from_secs(args.length);
     let report = leases::run::play(plan, args.scenario, length, lab, interrupted()).await?;
     let late = report.starved.then_some(report.lag_ms);
-    verdict(&report, &report.broken, late, args.json)
+    verdict(&report, &report.broken, late, args.day.json)
 }
 
 /// Prints a day's figures and whether its promises held; a day on which a part ran this many milliseconds late does not count.
@@ -450,7 +448,7 @@
 /// Plays a cold start.
 async fn cold_start(args: FleetArgs, folder: &std::path::Path) -> Result<bool, String> {
     let relays = usize::from(args.relays);
-    let folder = books(args.logs.clone(), folder)?;
+    let folder = books(args.day.logs, folder)?;
     let script = match &args.faults {
         Some(file) => {
             let text = std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?;
@@ -471,7 +469,7 @@
         cold_cards: args.cold,
         links: Vec::new(),
         folder,
-        program: args.program.map_or_else(honeyknot_lab::world::relays::program, Ok)?,
+        program: args.day.program.map_or_else(honeyknot_lab::world::relays::program, Ok)?,
         part: (0, 1),
         ..fleet::Plan::default()
     };
@@ -484,7 +482,7 @@
         eprintln!("seed {}; --faults with these lines replays the script:\n{text}", args.seed);
     }
     let late = report.starved.then_some(report.lag_ms);
-    verdict(&report, &report.broken, late, args.json)
+    verdict(&report, &report.broken, late, args.day.json)
 }
 
 fn tell(report: &Report) {
--- a/crates/lab/src/world/cards.rs
+++ b/crates/lab/src/world/cards.rs
@@ -9,7 +9,7 @@
 use tokio::time::sleep;
 
 use super::{Life, Shared};
-use crate::asked::{deck, figure, probed};
+use crate::asked::{deck, figure, first_line};
 use crate::model::{Held, Micros, Opened};
 
 /// Nothing new may be sent to a card server later than this after the news of its drain: the rule's 500 ms and the
@@ -118,29 +118,14 @@
 async fn talk(
     world: &Shared, server: usize, relay: usize, stream: &mut BufReader<TcpStream>, seat: &mut Seat,
 ) {
-    let mut line = String::new();
-    loop {
-        line.clear();
-        match stream.read_line(&mut line).await {
-            Ok(n) if n > 0 && line.len() <= 4096 => {}
-            _ => return,
-        }
-        let answer = match line.trim_end().split(' ').collect::<Vec<_>>()[..] {
-            ["PING"] => "PONG\r\n".to_owned(),
-            ["STATS"] => {
-                let mut world = world.borrow_mut();
-                let now = world.now();
-                world.fleet.probes += 1;
-                probed(&world.cards[server].model.report(now))
-            }
-            ["OPEN", id, _, figures] => {
-                return session(world, server, relay, stream, seat, id, figures).await;
-            }
-            _ => "SYNTAX\r\n".to_owned(),
-        };
-        if stream.write_all(answer.as_bytes()).await.is_err() {
-            return;
-        }
+    let probe = || {
+        let mut world = world.borrow_mut();
+        let now = world.now();
+        world.fleet.probes += 1;
+        world.cards[server].model.report(now)
+    };
+    if let Some((id, figures)) = first_line(stream, probe).await {
+        session(world, server, relay, stream, seat, &id, &figures).await;
     }
 }
 
--- a/crates/lab/tests/leases.rs
+++ b/crates/lab/tests/leases.rs
@@ -8,9 +8,10 @@
 use honeyknot_lab::leases::Keeping;
 use honeyknot_lab::leases::report::Report;
 use honeyknot_lab::leases::run::{Scenario, play};
+use honeyknot_leases::Planted;
 
 /// A day of three keepers and eight holders with leases of a second.
-fn day(scenario: Scenario, planted: Option<&str>, seed: u64, seconds: u64) -> Report {
+fn day(scenario: Scenario, planted: Option<Planted>, seed: u64, seconds: u64) -> Report {
     let lab = PathBuf::from(env!("CARGO_BIN_EXE_honeyknot-lab"));
     let program = lab.with_file_name("honeyknot");
     assert!(program.is_file(), "build the whole workspace first: cargo build --workspace");
@@ -22,13 +23,7 @@
         relays: 8,
         folder: folder.path().to_owned(),
         program,
-        leases: Keeping {
-            keepers: 3,
-            lease_ms: 1_000,
-            tasks: 6,
-            planted: planted.map(str::to_owned),
-            ..Keeping::default()
-        },
+        leases: Keeping { keepers: 3, lease_ms: 1_000, tasks: 6, planted, ..Keeping::default() },
         ..Plan::default()
     };
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
@@ -43,7 +38,7 @@
 }
 
 /// A planted fault shows on one of a few days: when it meets its moment is the machine's to say.
-fn shows(scenario: Scenario, planted: &str, broken: &str) {
+fn shows(scenario: Scenario, planted: Planted, broken: &str) {
     let mut seen = Vec::new();
     for seed in [1, 3, 5, 7, 9] {
         let report = day(scenario, Some(planted), seed, 15);
@@ -52,7 +47,7 @@
         }
         seen.push(report);
     }
-    panic!("{planted} does not show: {seen:?}");
+    panic!("{planted:?} does not show: {seen:?}");
 }
 
 #[test]
@@ -77,15 +72,15 @@
 
 #[test]
 fn a_permit_that_is_not_looked_at_again_shows() {
-    shows(Scenario::Pause, "permit-not-checked", "overlapped");
+    shows(Scenario::Pause, Planted::PermitNotChecked, "overlapped");
 }
 
 #[test]
 fn a_leader_that_forgets_leases_shows() {
-    shows(Scenario::Leader, "forgets-leases", "overlapped");
+    shows(Scenario::Leader, Planted::ForgetsLeases, "overlapped");
 }
 
 #[test]
 fn a_drift_that_nobody_reckons_with_shows() {
-    shows(Scenario::Skew, "no-drift", "overlapped");
+    shows(Scenario::Skew, Planted::NoDrift, "overlapped");
 }
--- a/crates/leases/src/claims.rs
+++ b/crates/leases/src/claims.rs
@@ -158,7 +158,7 @@
     pub fn ask(&mut self, now: Micros) -> Option<Sending> {
         if self.flight.as_ref().is_some_and(|flight| now >= flight.until) {
             self.unheard += 1;
-            self.failed(now);
+            self.failed(now, self.next_keeper());
         }
         if self.flight.is_some() || now < self.rest {
             return None;
@@ -224,46 +224,52 @@
 
     /// The keeper asked does not lead. Who does, if it knows.
     pub fn elsewhere(&mut self, now: Micros, id: u64, leader: Option<u64>) {
-        let Some(flight) = self.flight.take_if(|flight| flight.id == id) else { return };
+        if !self.is_out(id) {
+            return;
+        }
         match leader.filter(|leader| (1..=self.keepers).contains(leader) && *leader != self.keeper) {
             // Once at once; keepers that send it round in a circle are failures.
             Some(leader) if self.failures == 0 => {
+                self.flight = None;
                 (self.keeper, self.failures) = (leader, 1);
                 self.rest = now;
             }
-            other => {
-                self.flight = Some(flight);
-                self.failed(now);
-                self.keeper = other.unwrap_or(self.keeper);
-            }
+            other => self.failed(now, other.unwrap_or(self.next_keeper())),
         }
     }
 
     /// The keeper has too much to do.
     pub fn busy(&mut self, now: Micros, id: u64) {
-        if self.flight.as_ref().is_some_and(|flight| flight.id == id) {
-            let keeper = self.keeper;
-            self.failed(now);
-            self.keeper = keeper;
+        if self.is_out(id) {
+            self.failed(now, self.keeper);
         }
     }
 
     /// The keeper cannot be reached, or the connection to it has ended.
     pub fn cut(&mut self, now: Micros, id: u64) {
-        if self.flight.as_ref().is_some_and(|flight| flight.id == id) {
+        if self.is_out(id) {
             self.unheard += 1;
-            self.failed(now);
+            self.failed(now, self.next_keeper());
         }
     }
 
-    /// The ask came to nothing: another keeper, after a pause that is drawn up to a doubled bound.
-    fn failed(&mut self, now: Micros) {
+    /// Whether this ask is the one that an answer is awaited to.
+    fn is_out(&self, id: u64) -> bool {
+        self.flight.as_ref().is_some_and(|flight| flight.id == id)
+    }
+
+    fn next_keeper(&self) -> u64 {
+        self.keeper % self.keepers.max(1) + 1
+    }
+
+    /// The ask came to nothing: this keeper next, after a pause that is drawn up to a doubled bound.
+    fn failed(&mut self, now: Micros, keeper: u64) {
         if let Some(flight) = self.flight.take() {
             self.given_up.push_front(flight);
             self.given_up.truncate(MOST_GIVEN_UP);
         }
         self.failures = (self.failures + 1).min(16);
-        self.keeper = self.keeper % self.keepers.max(1) + 1;
+        self.keeper = keeper;
         let bound = (self.terms.lease / 32).saturating_mul(1 << self.failures.min(8)).min(self.terms.lease);
         let holds = self.tasks.values().any(|claim| claim.holder.holds(now).is_some());
         // Who holds something has a lease to lose.
--- a/crates/leases/src/lib.rs
+++ b/crates/leases/src/lib.rs
@@ -44,7 +44,8 @@
 
 /// Faults that the proofs must see.
 #[cfg(feature = "planted")]
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Planted {
     /// The holder counts from the answer.
     CountsFromAnswer,
@@ -66,6 +67,24 @@
     ExpiresRenewed,
 }
 
+/// A clock that is off, for tests: by an offset, and by so many parts of a million in its rate.
+#[cfg(feature = "planted")]
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Skewed {
+    /// What it shows at time 0.
+    pub offset: Micros,
+    /// By how much it is fast, or slow where negative.
+    pub ppm: i64,
+}
+
+#[cfg(feature = "planted")]
+impl Skewed {
+    /// What it shows at a time.
+    pub fn at(self, t: Micros) -> Micros {
+        (i128::from(t) + i128::from(t) * i128::from(self.ppm) / 1_000_000) as Micros + self.offset
+    }
+}
+
 #[cfg(feature = "planted")]
 impl Planted {
     /// All of them.
--- a/crates/leases/tests/days.rs
+++ b/crates/leases/tests/days.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeMap;
 
 use honeyknot_leases::{
-    Answer, Asked, Book, Command, Holder, Micros, Permit, Planted, Refusal, Terms, Token, Watchman,
+    Answer, Asked, Book, Command, Holder, Micros, Permit, Planted, Refusal, Skewed, Terms, Token, Watchman,
 };
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -21,19 +21,6 @@
 /// No fault begins after this: somebody must act till the end.
 const FAULTS: Micros = 32 * LEASE;
 
-/// A clock with an offset and a rate of its own.
-#[derive(Clone, Copy)]
-struct Clock {
-    offset: Micros,
-    ppm: i64,
-}
-
-impl Clock {
-    fn at(self, t: Micros) -> Micros {
-        (t as i128 + t as i128 * self.ppm as i128 / 1_000_000) as Micros + self.offset
-    }
-}
-
 #[derive(Clone)]
 struct Sent {
     from: usize,
@@ -51,13 +38,13 @@
 }
 
 struct Keeper {
-    clock: Clock,
+    clock: Skewed,
     book: Book,
     applied: usize,
 }
 
 struct Relay {
-    clock: Clock,
+    clock: Skewed,
     holder: Holder,
     act: Option<(Permit, u32)>,
     nonce: u64,
@@ -98,7 +85,7 @@
     let terms = Terms { planted, drift_ppm: 50_000, margin: 0, ..Terms::new(LEASE) };
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
     let ppm = terms.drift_ppm as i64;
-    let clock = |rng: &mut Pcg64Mcg| Clock {
+    let clock = |rng: &mut Pcg64Mcg| Skewed {
         offset: rng.random_range(0..1_000 * LEASE),
         // As far apart as the bound allows, or anywhere between.
         ppm: [-ppm, ppm, rng.random_range(-ppm..=ppm)][rng.random_range(0..3)],
--- a/crates/quorum/src/keeper.rs
+++ b/crates/quorum/src/keeper.rs
@@ -166,8 +166,6 @@
     /// The entry that expires what has run out, while it is not agreed on.
     expiring: Option<u64>,
     ready: Option<Ready>,
-    /// What [`Keeper::work`] said has to be written.
-    writing: Write,
     compacted: Option<Snapshot>,
     out: Vec<Out>,
 }
@@ -214,7 +212,6 @@
             batches: BTreeMap::new(),
             expiring: None,
             ready: None,
-            writing: Write::default(),
             compacted: None,
             out: Vec::new(),
         })
@@ -321,11 +318,6 @@
         self.node.raft.term
     }
 
-    /// The book as far as this keeper has applied it.
-    pub fn book(&self) -> &Book {
-        &self.book
-    }
-
     /// What has to be on disk next, if there is anything to do. [`Keeper::written`] follows, and nothing else before it.
     pub fn work(&mut self, now: Micros) -> Option<Write> {
         self.propose_gathered(now);
@@ -345,13 +337,11 @@
             write.drop_from = write.entries.first().map(|entry| entry.index).or(write.drop_from);
             self.ready = Some(ready);
         }
-        self.writing = write.clone();
         Some(write)
     }
 
-    /// What [`Keeper::work`] named is on disk: what follows from it.
-    pub fn written(&mut self, now: Micros) -> Result<Vec<Out>, Lost> {
-        let write = std::mem::take(&mut self.writing);
+    /// What [`Keeper::work`] named, given back here, is on disk: what follows from it.
+    pub fn written(&mut self, now: Micros, write: Write) -> Result<Vec<Out>, Lost> {
         if let Some(mut ready) = self.ready.take() {
             let log = self.node.mut_store();
             if !ready.snapshot().is_empty()
@@ -361,7 +351,7 @@
                 self.applied = snapshot.index;
                 log.restore(snapshot);
             }
-            log.append(&write.entries);
+            log.append(write.entries);
             if let Some(state) = write.state {
                 log.set_state(state);
             }
--- a/crates/quorum/src/log.rs
+++ b/crates/quorum/src/log.rs
@@ -131,12 +131,12 @@
         self.snapshot = Some(snapshot);
     }
 
-    pub(crate) fn append(&mut self, entries: &[Entry]) {
+    pub(crate) fn append(&mut self, entries: Vec<Entry>) {
         let Some(first) = entries.first() else { return };
         if let Some(place) = self.place(first.index) {
             self.entries.truncate(place);
         }
-        self.entries.extend_from_slice(entries);
+        self.entries.extend(entries);
     }
 
     pub(crate) fn set_state(&mut self, state: State) {
--- a/crates/quorum/tests/days.rs
+++ b/crates/quorum/tests/days.rs
@@ -6,7 +6,7 @@
 
 use std::collections::BTreeMap;
 
-use honeyknot_leases::{Claims, Micros, Permit, Planted, Terms, Token, Wish};
+use honeyknot_leases::{Claims, Micros, Permit, Planted, Skewed, Terms, Token, Wish};
 use honeyknot_quorum::{Ask, Keeper, Kept, Letter, Out, Settings, Told};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -30,18 +30,6 @@
     AnswersBeforeWriting,
 }
 
-#[derive(Clone, Copy)]
-struct Clock {
-    offset: Micros,
-    ppm: i64,
-}
-
-impl Clock {
-    fn at(self, t: Micros) -> Micros {
-        (t as i128 + t as i128 * self.ppm as i128 / 1_000_000) as Micros + self.offset
-    }
-}
-
 enum Event {
     Turn(usize),
     Letter(Letter),
@@ -54,7 +42,7 @@
 }
 
 struct Seat {
-    clock: Clock,
+    clock: Skewed,
     keeper: Option<Keeper>,
     kept: Kept,
     /// Its work is under way: until then asks and letters gather.
@@ -62,7 +50,7 @@
 }
 
 struct Relay {
-    clock: Clock,
+    clock: Skewed,
     claims: Claims,
     acts: Vec<Act>,
 }
@@ -134,7 +122,7 @@
         tokens_from: 1_000 * seed,
     };
     let ppm = terms.drift_ppm as i64;
-    let clock = |rng: &mut Pcg64Mcg| Clock {
+    let clock = |rng: &mut Pcg64Mcg| Skewed {
         offset: rng.random_range(0..1_000 * LEASE),
         ppm: [-ppm, ppm, rng.random_range(-ppm..=ppm)][rng.random_range(0..3)],
     };
@@ -277,13 +265,13 @@
             let writes = !crash || self.rng.random_bool(0.5);
             let early = self.plant == Some(Plant::AnswersBeforeWriting);
             if writes && !(early && crash) {
-                self.seats[k].kept.write(write);
+                self.seats[k].kept.write(write.clone());
             }
             if crash && !early {
                 return self.crash(k);
             }
             let Some(keeper) = &mut self.seats[k].keeper else { return };
-            match keeper.written(now) {
+            match keeper.written(now, write) {
                 Ok(out) => out.into_iter().for_each(|out| self.carry(out)),
                 Err(why) => return self.breaks(format!("keeper {}: {why}", k + 1)),
             }
@@ -500,20 +488,10 @@
 
 #[test]
 fn every_planted_fault_is_seen() {
-    use Planted::*;
-    let pure = [
-        CountsFromAnswer,
-        NoDrift,
-        KeeperCountsFromRequest,
-        TokenFromMemory,
-        ForgetsLeases,
-        PermitNotChecked,
-        EarlyRelease,
-        OldRelease,
-        ExpiresRenewed,
-    ];
-    let plants =
-        pure.map(Plant::Leases).into_iter().chain([Plant::EmptyFolderVotes, Plant::AnswersBeforeWriting]);
+    let plants = Planted::ALL
+        .map(Plant::Leases)
+        .into_iter()
+        .chain([Plant::EmptyFolderVotes, Plant::AnswersBeforeWriting]);
     let workers: Vec<_> = plants
         .map(|plant| {
             let search =
--- a/crates/sites/src/plan.rs
+++ b/crates/sites/src/plan.rs
@@ -108,8 +108,7 @@
 const HOUR: Duration = Duration::from_secs(3600);
 
 fn micros(least_ms: u64, most: Duration) -> impl Fn(&str) -> units::Read<Micros> {
-    let read = units::duration(Duration::from_millis(least_ms)..=most);
-    move |word| read(word).map(|span| span.as_micros() as Micros)
+    units::micros(Duration::from_millis(least_ms)..=most)
 }
 
 impl Plan {
--- a/src/keeper/disk.rs
+++ b/src/keeper/disk.rs
@@ -1,10 +1,9 @@
 //! A keeper's folder: one `redb` file, written in whole transactions. One folder is one keeper's, and one process's.
 
 use std::collections::BTreeMap;
-use std::fmt::Display;
 use std::path::Path;
 
-use honeyknot_quorum::{Entry, KeeperId, Kept, Snapshot, State, Write};
+use honeyknot_quorum::{KeeperId, Kept, State, Write};
 use rand::TryRngCore;
 use rand::rngs::OsRng;
 use redb::{Database, DatabaseError, ReadableDatabase, ReadableTable, TableDefinition};
@@ -78,40 +77,35 @@
             create(folder, &file, &founding, tokens_from)?;
         }
         let disk = Disk { base: Database::open(&file).map_err(|why| unopened(&path, why))?, path };
-        let found = disk.read(&founding)?;
+        let found = disk.read(&founding).map_err(|why| disk.wrong(why))?;
         Ok((disk, found))
     }
 
-    fn read(&self, founding: &Founding) -> Result<Found, String> {
-        let wrong = |why: &dyn Display| format!("{}: {why}", self.path);
-        let txn = self.base.begin_read().map_err(|why| wrong(&why))?;
-        let kept = txn.open_table(KEPT).map_err(|why| wrong(&why))?;
-        let founded: Option<Founded> = read(&kept, "founded").map_err(|why| wrong(&why))?;
-        let founded = founded
-            .ok_or_else(|| wrong(&"the folder was never founded to its end; remove it and found it anew"))?;
+    fn read(&self, founding: &Founding) -> Result<Found, Trouble> {
+        let txn = self.base.begin_read()?;
+        let kept = txn.open_table(KEPT)?;
+        let founded: Option<Founded> = read(&kept, "founded")?;
+        let founded =
+            founded.ok_or("the folder was never founded to its end; remove it and found it anew")?;
         if founded.founding != *founding {
             let Founding { fleet, keepers, me } = &founded.founding;
-            return Err(wrong(&format!(
+            return Err(format!(
                 "the folder is keeper {me}'s of {keepers} of the fleet `{fleet}`, not keeper {}'s of {} of `{}`",
                 founding.me, founding.keepers, founding.fleet
-            )));
+            )
+            .into());
         }
-        let state: Option<State> = read(&kept, "state").map_err(|why| wrong(&why))?;
-        let snapshot: Option<Snapshot> = read(&kept, "snapshot").map_err(|why| wrong(&why))?;
         let mut entries = Vec::new();
-        let log = txn.open_table(LOG).map_err(|why| wrong(&why))?;
-        for item in log.iter().map_err(|why| wrong(&why))? {
-            let (_, bytes) = item.map_err(|why| wrong(&why))?;
-            let entry: Entry = postcard::from_bytes(bytes.value()).map_err(|why| wrong(&why))?;
-            entries.push(entry);
+        for item in txn.open_table(LOG)?.iter()? {
+            entries.push(postcard::from_bytes(item?.1.value())?);
         }
         let mut marks = BTreeMap::new();
-        let table = txn.open_table(MARKS).map_err(|why| wrong(&why))?;
-        for item in table.iter().map_err(|why| wrong(&why))? {
-            let (keeper, mark) = item.map_err(|why| wrong(&why))?;
+        for item in txn.open_table(MARKS)?.iter()? {
+            let (keeper, mark) = item?;
             marks.insert(keeper.value(), mark.value());
         }
-        let kept = Kept { state: state.unwrap_or_default(), snapshot, entries };
+        let state: Option<State> = read(&kept, "state")?;
+        let kept = Kept { state: state.unwrap_or_default(), snapshot: read(&kept, "snapshot")?, entries };
         Ok(Found { kept, tokens_from: founded.tokens_from, mark: founded.mark, marks })
     }
 
@@ -139,16 +133,28 @@
         })
     }
 
-    /// Remembers the mark of another keeper's folder.
+    /// Remembers the mark of another keeper's folder. One that is known costs no write: keepers greet again and again.
     pub fn remember(&self, keeper: KeeperId, mark: u64) -> Result<(), String> {
+        if self.known(keeper).map_err(|why| self.wrong(why))? == Some(mark) {
+            return Ok(());
+        }
         self.change(|tables| {
             tables.marks.insert(keeper, mark)?;
             Ok(())
         })
     }
 
+    fn known(&self, keeper: KeeperId) -> Result<Option<u64>, Trouble> {
+        let mark = self.base.begin_read()?.open_table(MARKS)?.get(keeper)?;
+        Ok(mark.map(|mark| mark.value()))
+    }
+
+    fn wrong(&self, why: Trouble) -> String {
+        format!("{}: {why}", self.path)
+    }
+
     fn change(&self, change: impl FnOnce(&mut Tables) -> Result<(), Trouble>) -> Result<(), String> {
-        self.changed(change).map_err(|why| format!("{}: {why}", self.path))
+        self.changed(change).map_err(|why| self.wrong(why))
     }
 
     fn changed(&self, change: impl FnOnce(&mut Tables) -> Result<(), Trouble>) -> Result<(), Trouble> {
--- a/src/keeper/lines.rs
+++ b/src/keeper/lines.rs
@@ -9,10 +9,9 @@
 
 use honeyknot_quorum::{KeeperId, Letter};
 use rand::{Rng, SeedableRng};
-use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 use tracing::{info, warn};
 
 use super::{Heard, MOST_CLIENTS, QUEUE};
@@ -118,8 +117,7 @@
                     },
                     answer = answers.recv() => {
                         let Some(answer) = answer else { return Ok(()) };
-                        let bytes = wire::encode(&answer)?;
-                        timeout(PATIENCE, to.write_all(&bytes)).await.map_err(|_| io::ErrorKind::TimedOut)??;
+                        wire::send(&mut to, &answer, PATIENCE).await?;
                     }
                 }
             }
@@ -158,19 +156,13 @@
     at: SocketAddr, hello: &Hello, letters: &mut mpsc::Receiver<Letter>, patience: Duration, clock: &Clock,
     reached: &mut bool,
 ) -> io::Result<()> {
-    let late = || io::Error::from(io::ErrorKind::TimedOut);
-    let stream = timeout(patience, TcpStream::connect(at)).await.map_err(|_| late())??;
-    stream.set_nodelay(true)?;
-    let (from, mut to) = stream.into_split();
-    let mut reader = Reader::new(from);
-    wire::greet(&mut reader, &mut to, hello).await?;
+    let (mut reader, mut to) = wire::dial(at, hello, patience).await?;
     *reached = true;
     loop {
         tokio::select! {
             letter = letters.recv() => {
                 let Some(letter) = letter else { return Ok(()) };
-                let bytes = wire::encode(&Frame::Letter(clock(), letter))?;
-                timeout(2 * patience, to.write_all(&bytes)).await.map_err(|_| late())??;
+                wire::send(&mut to, &Frame::Letter(clock(), letter), 2 * patience).await?;
             }
             // The other side says nothing more; its end shows that it has gone.
             _ = reader.next() => return Err(io::ErrorKind::ConnectionReset.into()),
--- a/src/keeper/mod.rs
+++ b/src/keeper/mod.rs
@@ -231,7 +231,7 @@
         while let Some(write) = self.keeper.work((self.clock)()) {
             // A write that failed is the end: what the engine believes to be on disk is not.
             self.disk.write(&write)?;
-            let out = self.keeper.written((self.clock)()).map_err(|why| why.to_string())?;
+            let out = self.keeper.written((self.clock)(), write).map_err(|why| why.to_string())?;
             out.into_iter().for_each(|out| self.carry(out));
         }
         let (leader, leads) = (self.keeper.leader(), self.keeper.leads());
--- a/src/leases/client.rs
+++ b/src/leases/client.rs
@@ -9,8 +9,6 @@
 
 use honeyknot_leases::{Claims, NotNow, Permit, Token, Wish};
 use honeyknot_quorum::{KeeperId, Told};
-use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
 use tokio::sync::{Notify, mpsc};
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
@@ -18,7 +16,7 @@
 
 use super::Clock;
 use super::plan::Plan;
-use super::wire::{self, Frame, Hello, Reader, Who};
+use super::wire::{self, Frame, Hello, Who};
 use crate::interface::Micros;
 
 /// Frames that wait for a keeper at the most: a relay has one ask out at a time.
@@ -200,12 +198,7 @@
     at: SocketAddr, hello: &Hello, mut frames: mpsc::Receiver<Frame>, news: &mpsc::Sender<News>,
     patience: Duration,
 ) -> std::io::Result<()> {
-    let late = || std::io::Error::from(std::io::ErrorKind::TimedOut);
-    let stream = timeout(patience, TcpStream::connect(at)).await.map_err(|_| late())??;
-    stream.set_nodelay(true)?;
-    let (from, mut to) = stream.into_split();
-    let mut reader = Reader::new(from);
-    wire::greet(&mut reader, &mut to, hello).await?;
+    let (mut reader, mut to) = wire::dial(at, hello, patience).await?;
     let mut unanswered = 0;
     loop {
         tokio::select! {
@@ -214,10 +207,9 @@
                 // One that has swallowed some asks in silence is not asked over the same connection again.
                 unanswered += 1;
                 if unanswered > 3 {
-                    return Err(late());
+                    return Err(std::io::ErrorKind::TimedOut.into());
                 }
-                let bytes = wire::encode(&frame)?;
-                timeout(patience, to.write_all(&bytes)).await.map_err(|_| late())??;
+                wire::send(&mut to, &frame, patience).await?;
             }
             frame = reader.next() => match frame? {
                 Some(Frame::Told { id, told }) => {
--- a/src/leases/plan.rs
+++ b/src/leases/plan.rs
@@ -42,10 +42,8 @@
     }
 
     fn from_section(mut top: Section) -> Plan {
-        let span = |least_ms, most_s| {
-            let read = units::duration(Duration::from_millis(least_ms)..=Duration::from_secs(most_s));
-            move |word: &str| read(word).map(|span| span.as_micros() as Micros)
-        };
+        let span =
+            |least_ms, most_s| units::micros(Duration::from_millis(least_ms)..=Duration::from_secs(most_s));
         let fleet = top.required("fleet", units::text()).unwrap_or_default();
         let lease = top.value("lease", span(500, 3_600)).unwrap_or(10_000_000);
         let mut terms = Terms::new(lease);
--- a/src/leases/staff.rs
+++ b/src/leases/staff.rs
@@ -7,12 +7,10 @@
 use clap::Subcommand;
 use honeyknot_leases::{Answer, Command, Token};
 use honeyknot_quorum::{KeeperId, Told, View};
-use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 use super::plan::Plan;
-use super::wire::{self, Frame, Hello, Reader, Who};
+use super::wire::{self, Frame, Hello, Who};
 
 /// What staff want.
 #[derive(Clone, Debug, Subcommand)]
@@ -152,12 +150,8 @@
 
 /// Asks one keeper once.
 pub async fn ask_one(at: SocketAddr, hello: &Hello, commands: &[Command]) -> io::Result<Told> {
-    let stream = TcpStream::connect(at).await?;
-    stream.set_nodelay(true)?;
-    let (from, mut to) = stream.into_split();
-    let mut reader = Reader::new(from);
-    wire::greet(&mut reader, &mut to, hello).await?;
-    to.write_all(&wire::encode(&Frame::Ask { id: 1, commands: commands.to_vec() })?).await?;
+    let (mut reader, mut to) = wire::dial(at, hello, PATIENCE).await?;
+    wire::send(&mut to, &Frame::Ask { id: 1, commands: commands.to_vec() }, PATIENCE).await?;
     match reader.next().await? {
         Some(Frame::Told { told, .. }) => Ok(told),
         Some(_) => Err(io::Error::other("a frame that only keepers are sent")),
--- a/src/leases/wire.rs
+++ b/src/leases/wire.rs
@@ -2,6 +2,7 @@
 //! a form that every version reads; the rest are `postcard`.
 
 use std::io::{self, ErrorKind};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
@@ -10,6 +11,8 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::time::timeout;
 use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
 
@@ -150,11 +153,6 @@
     postcard::from_bytes(bytes).map_err(|why| told(&format!("a frame that cannot be read: {why}")))
 }
 
-/// A frame's bytes with their length.
-pub fn encode(frame: &Frame) -> io::Result<BytesMut> {
-    framed(&postcard::to_stdvec(frame).map_err(|why| told(&why.to_string()))?)
-}
-
 fn framed(bytes: &[u8]) -> io::Result<BytesMut> {
     let mut out = BytesMut::with_capacity(bytes.len() + 4);
     let mut codec = LengthDelimitedCodec::builder().max_frame_length(LARGEST).new_codec();
@@ -162,6 +160,12 @@
     Ok(out)
 }
 
+/// Sends a frame, unless the other side takes none for this long.
+pub async fn send(to: &mut (impl AsyncWrite + Unpin), frame: &Frame, patience: Duration) -> io::Result<()> {
+    let bytes = framed(&postcard::to_stdvec(frame).map_err(|why| told(&why.to_string()))?)?;
+    timeout(patience, to.write_all(&bytes)).await.map_err(|_| io::Error::from(ErrorKind::TimedOut))?
+}
+
 async fn say_first<T: Serialize>(to: &mut (impl AsyncWrite + Unpin), what: &T) -> io::Result<()> {
     let mut bytes = MARK.to_vec();
     bytes.extend(VERSION.to_be_bytes());
@@ -171,15 +175,19 @@
         .map_err(|_| io::Error::from(ErrorKind::TimedOut))?
 }
 
-/// The dialling side's greeting: says who it is, and hears whether it is welcome.
-pub async fn greet<R, W>(reader: &mut Reader<R>, writer: &mut W, hello: &Hello) -> io::Result<()>
-where
-    R: AsyncRead + Unpin,
-    W: AsyncWrite + Unpin,
-{
-    say_first(writer, hello).await?;
+/// Dials a keeper, says who this is, and hears whether it is welcome. The connection itself has `patience` to come about.
+pub async fn dial(
+    at: SocketAddr, hello: &Hello, patience: Duration,
+) -> io::Result<(Reader<OwnedReadHalf>, OwnedWriteHalf)> {
+    let late = |_| io::Error::from(ErrorKind::TimedOut);
+    let stream = timeout(patience, TcpStream::connect(at)).await.map_err(late)??;
+    stream.set_nodelay(true)?;
+    let (from, mut to) = stream.into_split();
+    let mut reader = Reader::new(from);
+    say_first(&mut to, hello).await?;
     let welcome: Result<(), String> = reader.first().await?;
-    welcome.map_err(|why| io::Error::new(ErrorKind::PermissionDenied, format!("turned away: {why}")))
+    welcome.map_err(|why| io::Error::new(ErrorKind::PermissionDenied, format!("turned away: {why}")))?;
+    Ok((reader, to))
 }
 
 /// The listening side's greeting: hears who comes, and says whether they are welcome.
