No failed call to the list service is a shelter: asked again within the rule's 6 s

A failed, refused or given-up call let the next one wait up to 30 s (mean 20 s, half as much again drawn; a Retry-After of up to 30 s on top), on the older sentence that four times the time for asking may pass after a failure. A change counts as told 6 s after the service had it and could be reached. Lines at fault: Caller::failed (most = must_ask_in * 2, AGAIN_MOST, RETRY_AFTER_MOST) and the first window of 6 s in Caller::new.

Now no pause of a caller that holds a list is longer than 4.6 s, a spoilt answer is asked again after 0.25 s to 2.3 s, and the first call comes within 4.6 s. Who holds no list can break no rule by it and keeps the longer pauses, as do fleets so large that their cheapest calls would not fit (over 920 relays).

--- a/crates/listing/src/belief.rs
+++ b/crates/listing/src/belief.rs
@@ -62,9 +62,14 @@
         self.doubt.is_some()
     }
 
+    /// Nothing has ever been listed: there is nobody to send to.
+    pub fn bare(&self) -> bool {
+        self.version == 0 && self.held.is_empty()
+    }
+
     /// Without a list, changes would be the whole one all the same; a doubt ends by it.
     pub fn wants_whole(&self, now: Micros) -> bool {
-        self.version == 0 && self.held.is_empty() || self.check_at().is_some_and(|at| now >= at)
+        self.bare() || self.check_at().is_some_and(|at| now >= at)
     }
 
     pub fn check_at(&self) -> Option<Micros> {
--- a/crates/listing/src/clock.rs
+++ b/crates/listing/src/clock.rs
@@ -5,8 +5,8 @@
 //! later. A relay cannot see when a call fell silent: the earliest is the moment at which it was made, so the time that
 //! [`counts_after`] gives is never too long.
 //!
-//! Without a call out, changes count as told once the relay has not asked for [`Told::must_ask_in`], or [`AFTER_FAILURE`] times as
-//! long if its last call failed. That clock starts anew when the service comes back, which a relay cannot see either.
+//! Without a call out, a change counts as told [`SILENCE`] after the service had it and could be reached, whatever else a longer
+//! time for asking ([`Told::must_ask_in`]) or a failed call would allow: so no pause between two calls is longer than [`PAUSE_MOST`].
 
 use honeyknot_decisions::interface::Micros;
 
@@ -18,8 +18,9 @@
 pub const SILENCE: Micros = 6_000_000;
 /// ... or so long after the wait of a call that may wait, if that is later.
 pub const AFTER_WAIT: Micros = 2_000_000;
-/// How many times [`Told::must_ask_in`] may pass after a failed call.
-pub const AFTER_FAILURE: u64 = 4;
+/// The longest pause between the end of a call, however it ended, and the next one: its answer still comes before a change made
+/// right after the last call counts.
+pub const PAUSE_MOST: Micros = SILENCE - 1_400_000;
 /// What another service (a reload) has to tell counts as told after this.
 pub const RENEWED: Micros = 4_000_000;
 
--- a/crates/listing/src/lib.rs
+++ b/crates/listing/src/lib.rs
@@ -36,8 +36,10 @@
 const FIRST_LEAST: Micros = 50_000;
 /// The least mean wait after a failed call, doubled with each further one up to 8 times.
 const AGAIN: Micros = 500_000;
-/// The longest mean wait after a failed call, whatever the settings allow.
+/// The longest wait after a failed call, of who holds no list and of fleets that are too large for the rule's clock.
 const AGAIN_MOST: Micros = 24_000_000;
+/// What any call costs the service, at the least.
+const LEAST_COST: Micros = 5_000;
 /// Signs of overload in a row that lengthen the wait, each doubling it.
 const DOUBLINGS: u32 = 3;
 /// A watch waits about this long at the service. Short enough that one which went silent is noticed within the time in
@@ -86,15 +88,16 @@
 const RENEW_SPREAD: Micros = 1_200_000;
 /// Once the time in which it should have been heard is over, its answer is waited for so long, less the room for a second call.
 const RENEW_PATIENCE: Micros = 2_000_000;
-/// The longest time to come back that a service may ask for.
-const RETRY_AFTER_MOST: Micros = 30_000_000;
+/// The longest time to come back that a service may ask for: what is left of the longest pause spreads its callers.
+const RETRY_AFTER_MOST: Micros = clock::PAUSE_MOST / 2;
 
 /// What a relay knows of the fleet and the rules when it starts.
 #[derive(Clone, Copy, Debug)]
 pub struct Told {
     /// Relays in all, this one among them; 0 is not told.
     pub relays: u32,
-    /// Who has not asked for this long counts as told of everything; four times this after a failed call. 0 is no such rule.
+    /// Who has not asked for this long counts as told of everything, and in any case after the rule's clock ([`clock`]). 0 is no
+    /// such time.
     pub must_ask_in: Micros,
     /// Seeds all draws.
     pub seed: u64,
@@ -188,6 +191,9 @@
             // The rule goes before sparing the service: who holds a list must have asked in time, with some to spare.
             window = window.min(told.must_ask_in / 10 * 6);
         }
+        if !bare {
+            window = window.min(clock::PAUSE_MOST);
+        }
         // As few as two may come at once.
         let window = if told.relays == 1 { 0 } else { window.clamp(FIRST_LEAST, FIRST_MOST) };
         let due = now + rng.random_range(0..=window);
@@ -344,6 +350,16 @@
         hurries && self.hurried <= HURRIES
     }
 
+    /// The longest pause after a failed call: the rule's, where a list is held by which it could be broken. More callers than could
+    /// all be answered within it, if each cost the service the least that a call costs, take what they need for that. Guards
+    /// against a service that turns callers away for ever.
+    fn pause_most(&self) -> Micros {
+        if self.belief.bare() {
+            return AGAIN_MOST;
+        }
+        (many(self.told.relays) * LEAST_COST).clamp(clock::PAUSE_MOST, AGAIN_MOST)
+    }
+
     /// The call that was out has failed.
     pub fn failed(&mut self, now: Micros, trouble: Trouble) {
         let took = self.out.take().map_or(0, |(_, since)| now.saturating_sub(since));
@@ -364,8 +380,10 @@
         let (fleet, asked) = match trouble {
             // One that breaks at once costs it next to nothing either; one that breaks after a wait has waited too long.
             Trouble::Refused => (fleet, None),
-            Trouble::Broken | Trouble::Senseless if took < QUICK => (fleet, None),
-            Trouble::Broken | Trouble::Senseless | Trouble::Busy(_) => {
+            Trouble::Broken if took < QUICK => (fleet, None),
+            // It was reached, and the answer spoilt on its way to one caller: a change that it held back counts all the same.
+            Trouble::Senseless => (0, None),
+            Trouble::Broken | Trouble::Busy(_) => {
                 self.overloads = (self.overloads + 1).min(DOUBLINGS);
                 let after = if let Trouble::Busy(after) = trouble { after } else { None };
                 (fleet << self.overloads.saturating_sub(1), after)
@@ -373,14 +391,19 @@
             // Its patience has kept it away already.
             Trouble::Silent => (0, None),
         };
-        let mut most = AGAIN_MOST;
-        if self.told.must_ask_in > 0 {
-            // After a failed call four times as long may pass; the draw goes up to half as much again.
-            most = most.min(self.told.must_ask_in * 2);
-        }
-        let mean = (AGAIN << doubled).max(if self.told.relays == 1 { 0 } else { fleet }).min(most);
         let asked = asked.unwrap_or(0).min(RETRY_AFTER_MOST);
-        self.due = Some(now + asked + self.rng.random_range(mean / 2..=mean / 2 * 3));
+        // A time to come back takes its part of the longest pause.
+        let most =
+            if trouble == Trouble::Senseless { clock::PAUSE_MOST / 2 } else { self.pause_most() - asked };
+        let mean = (AGAIN << doubled).max(if self.told.relays == 1 { 0 } else { fleet });
+        let (least, most) = match mean / 2 * 3 <= most {
+            true => (mean / 2, mean / 2 * 3),
+            // Where the rule's clock is no bound, all that there is to spread over.
+            false if most > clock::PAUSE_MOST => (most / 3, most),
+            // Late within what is allowed.
+            false => (most / 4 * 3, most),
+        };
+        self.due = Some(now + asked + self.rng.random_range(least..=most));
     }
 }
 
--- a/crates/listing/tests/caller.rs
+++ b/crates/listing/tests/caller.rs
@@ -30,7 +30,7 @@
 fn who_holds_a_list_asks_for_changes_in_time_and_who_holds_none_for_all() {
     for seed in 0..200 {
         let held = Caller::new(told(5_000, seed), &roll(7, true, &["s-1"]), 0);
-        assert!(held.due().is_some_and(|due| due <= 6 * S), "the rule goes before sparing the service");
+        assert!(held.due().is_some_and(|due| due <= 4_600_000), "the rule goes before sparing the service");
         let mut bare = Caller::new(told(300, seed), &Roll::default(), 0);
         assert_eq!(bare.call(S).0, Call::Whole);
     }
@@ -41,36 +41,70 @@
     assert!((3 * S..=7 * S).contains(&wait) && wait % 1_000 == 0 && patience > wait);
 }
 
+/// Waits of 300 callers, from the failure to the next call, in seconds.
+fn waits(relays: u32, troubles: &[Trouble]) -> Vec<f64> {
+    let wait = |seed| {
+        let mut caller = Caller::new(told(relays, seed), &roll(7, true, &["s-1"]), 0);
+        for trouble in troubles {
+            caller.call(S);
+            caller.failed(S, *trouble);
+        }
+        (caller.due().expect("a call") - S) as f64 / 1e6
+    };
+    (0..300).map(wait).collect()
+}
+
 /// Where to come back follows from what went wrong.
 #[test]
 fn waits_differ_by_what_went_wrong() {
-    let mean = |troubles: &[Trouble]| -> f64 {
-        let waits = (0..300).map(|seed| {
-            let mut caller = Caller::new(told(300, seed), &roll(7, true, &["s-1"]), 0);
-            for trouble in troubles {
-                caller.call(S);
-                caller.failed(S, *trouble);
-            }
-            (caller.due().expect("a call") - S) as f64 / 1e6
-        });
-        waits.sum::<f64>() / 300.0
-    };
+    let mean = |troubles: &[Trouble]| waits(100, troubles).iter().sum::<f64>() / 300.0;
     let busy = Trouble::Busy(None);
     let near =
         |mean: f64, wanted: f64| assert!((mean / wanted - 1.0).abs() < 0.1, "{mean:.1} s, {wanted} wanted");
-    near(mean(&[Trouble::Refused]), 7.2);
-    near(mean(&[Trouble::Refused; 5]), 7.2);
-    near(mean(&[busy]), 7.2);
-    near(mean(&[busy; 2]), 14.4);
-    near(mean(&[busy; 9]), 20.0);
-    near(mean(&[Trouble::Busy(Some(3 * S))]), 10.2);
-    near(mean(&[Trouble::Broken; 5]), 7.2);
+    near(mean(&[Trouble::Refused]), 2.4);
+    near(mean(&[busy]), 2.4);
+    near(mean(&[busy; 2]), 4.0);
+    near(mean(&[busy; 9]), 4.0);
+    near(mean(&[Trouble::Busy(Some(2 * S))]), 3.9);
+    near(mean(&[Trouble::Broken]), 2.4);
+    near(mean(&[Trouble::Senseless]), 0.5);
     // Its patience has kept it away already, and what it missed is about to count as told.
     let soon = mean(&[Trouble::Silent]);
     assert!((0.05..0.15).contains(&soon), "{soon:.2} s after the first silence");
     near(mean(&[Trouble::Silent; 9]), 4.0);
 }
 
+/// No failure is a shelter: what changes right after it counts as told 6 s later, and the answer needs its time.
+#[test]
+fn no_failure_keeps_a_caller_away_for_longer_than_the_rules_clock_allows() {
+    let kinds = [
+        Trouble::Refused,
+        Trouble::Broken,
+        Trouble::Silent,
+        Trouble::Senseless,
+        Trouble::Busy(None),
+        Trouble::Busy(Some(30 * S)),
+        Trouble::Busy(Some(u64::MAX)),
+    ];
+    for relays in [0, 1, 4, 30, 300, 920] {
+        for kind in kinds {
+            for times in 1..12 {
+                let waits = waits(relays, &vec![kind; times]);
+                let longest = waits.iter().copied().fold(0.0, f64::max);
+                assert!(longest <= 4.6, "{relays} relays, {kind:?} {times} times: {longest:.1} s");
+                let shortest = waits.iter().copied().fold(f64::MAX, f64::min);
+                assert!(
+                    longest - shortest >= 0.3 || longest < 0.3,
+                    "they come in step: {shortest} to {longest} s"
+                );
+            }
+        }
+    }
+    // More than could ever be answered within the rule's clock spare the service first.
+    let crowd = waits(10_000, &[Trouble::Busy(None); 9]);
+    assert!(crowd.iter().any(|wait| *wait > 4.6) && crowd.iter().all(|wait| *wait <= 24.0));
+}
+
 #[test]
 fn who_was_kept_waiting_stays_away_before_calls_fail() {
     let mut caller = Caller::new(told(300, 1), &Roll::default(), 0);
--- a/crates/listing/tests/clock.rs
+++ b/crates/listing/tests/clock.rs
@@ -41,36 +41,33 @@
     /// When it fell silent.
     silent: Option<Micros>,
     ended: Micros,
+    /// Its answer tells of changes up to then.
+    tells: Micros,
     failed: bool,
 }
 
 /// The page's sentences on when a change that was not written counts as told.
 fn counts_as_told(change: Micros, calls: &[Made], stretch: &Stretch) -> Micros {
-    let mut told = Micros::MAX;
-    for call in calls {
-        // A silent call: 6 s after it fell silent, or 2 s after its wait, if later.
-        if let Some(silent) = call.silent
-            && (silent..=call.ended).contains(&change)
-        {
-            told = told.min(change.max((silent + 6 * S).max(call.at + call.wait + 2 * S)));
+    // 6 s after the service had it, whatever the calls since came to.
+    let mut told = change + 6 * S;
+    for call in calls.iter().filter(|call| call.ended >= change) {
+        if let Some(silent) = call.silent.filter(|_| call.at < told) {
+            // What a silent call misses: 6 s after it fell silent, or 2 s after its wait, if later.
+            told = change.max((silent + 6 * S).max(call.at + call.wait + 2 * S));
+            break;
         }
-    }
-    // No call out: what is held counts for the time for asking since the last call, four times that if it failed; from then on
-    // each change counts as told so long after it was made.
-    for (n, call) in calls.iter().enumerate().filter(|(_, call)| call.silent.is_none()) {
-        let next = calls.get(n + 1).map_or(LENGTH, |next| next.at);
-        let held = stretch.must_ask_in * if call.failed { 4 } else { 1 };
-        let at = (call.ended + held).max(change + held);
-        if at < next && change < next {
-            told = told.min(at);
+        if !call.failed && call.tells >= change {
+            // It brought the change: written is told.
+            told = Micros::MAX;
+            break;
         }
     }
-    // While the service is down nothing is told; the clock starts anew at its return, with calls that failed.
+    // While the service is down it cannot be reached: the 6 s begin at its return.
     if let Some((down, back)) = stretch.outage
         && change <= back
         && down <= told
     {
-        told = told.max(back + 4 * stretch.must_ask_in);
+        told = told.max(back + 6 * S);
     }
     // What another service has to tell counts 4 s after the reload, also what the old one had not told by then.
     if let Some(reload) = stretch.reload
@@ -102,14 +99,16 @@
         let (call, patience) = caller.call(now);
         let down = |at: Micros| stretch.outage.is_some_and(|(from, to)| (from..to).contains(&at));
         let delay = rng.random_range(MS..=stretch.slow.max(2 * MS));
-        let mut made = Made { at: now, wait: 0, silent: None, ended: now + delay, failed: false };
+        let mut made =
+            Made { at: now, wait: 0, silent: None, ended: now + delay, tells: now + delay, failed: false };
         let mut answer = Ok(version(made.ended));
         if let Call::Changes { since, wait } = call {
             made.wait = wait;
             let news = stretch.changes.get(since as usize - 1).map(|change| change + delay);
             let over = now + wait + delay;
             made.ended = news.map_or(over, |news| news.clamp(now + delay, over));
-            answer = Ok(version(made.ended.saturating_sub(delay)));
+            made.tells = made.ended.saturating_sub(delay);
+            answer = Ok(version(made.tells));
         }
         let spoilt_last = calls.last().is_some_and(|last: &Made| last.failed && last.silent.is_none());
         if stretch.spoilt > 0 && !spoilt_last && rng.random_range(0..stretch.spoilt) == 0 {
@@ -129,7 +128,7 @@
         }
         if let Some(reload) = reload.filter(|at| *at < made.ended) {
             // The call that is out is dropped.
-            made.ended = reload;
+            (made.ended, made.failed) = (reload, true);
             calls.push(made);
             (reloaded, now) = (true, reload);
             caller.renew(now);
@@ -245,7 +244,7 @@
         let mut rng = Pcg64Mcg::seed_from_u64(seed);
         let relays = [1, 4, 7, 30, 100, 300][rng.random_range(0..6)];
         let mut changes: Vec<Micros> =
-            (0..rng.random_range(1..6)).map(|_| rng.random_range(100 * MS..34 * S)).collect();
+            (0..rng.random_range(1..6)).map(|_| rng.random_range(MS..34 * S)).collect();
         changes.sort_unstable();
         // Silences that follow one another within one silent call's time are one silence.
         let silences = (0..3).map(|n| (n * 27 + 1) * S + rng.random_range(0..4 * S)).collect::<Vec<_>>();
