Pushed lists are followed from a process's first moment; nothing is sent after the news of a drain

A trace of the configuration shows "discovery":"pushed"; the log shows no call to discovery at all. Line at fault: servers/roll.rs, Wants { watch: roll_on_request() }: where lists are pushed the relay never asked and lived on the list of its configuration for ever. Ruled out: lists that came late, a call that fell silent (no call was made).

The list is followed always. Second fault: Relay::may_still_send let an attempt go on for half of the grace after the relay had heard; what it heard may have counted as told before, so now nothing is written after the news.

--- a/crates/listing/src/lib.rs
+++ b/crates/listing/src/lib.rs
@@ -91,6 +91,11 @@
 /// The longest time to come back that a service may ask for: what is left of the longest pause spreads its callers.
 const RETRY_AFTER_MOST: Micros = clock::PAUSE_MOST / 2;
 
+/// The shortest wait of a watch at an agent beside the relay ...
+const AGENT_LEAST: Micros = 20_000;
+/// ... and the longest.
+const AGENT_MOST: Micros = 500_000;
+
 /// What a relay knows of the fleet and the rules when it starts.
 #[derive(Clone, Copy, Debug)]
 pub struct Told {
@@ -99,10 +104,21 @@
     /// Who has not asked for this long counts as told of everything, and in any case after the rule's clock ([`clock`]). 0 is no
     /// such time.
     pub must_ask_in: Micros,
+    /// Lists are pushed to an agent beside the relay; then the time in which sends to a card server that leaves must stop. What the
+    /// agent has counts as told, so it is asked within a quarter of that and nothing is spread over the fleet.
+    pub agent: Option<Micros>,
     /// Seeds all draws.
     pub seed: u64,
 }
 
+impl Told {
+    /// How long a watch at the agent waits, and what its answer may take beyond that: a quarter of the time in which sends must
+    /// stop, so that a watch that falls silent and the next one fit into it.
+    fn step(&self) -> Option<Micros> {
+        self.agent.map(|grace| (grace / 4).clamp(AGENT_LEAST, AGENT_MOST))
+    }
+}
+
 /// A call to the service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Call {
@@ -195,7 +211,8 @@
             window = window.min(clock::PAUSE_MOST);
         }
         // As few as two may come at once.
-        let window = if told.relays == 1 { 0 } else { window.clamp(FIRST_LEAST, FIRST_MOST) };
+        let window =
+            if told.relays == 1 || told.agent.is_some() { 0 } else { window.clamp(FIRST_LEAST, FIRST_MOST) };
         let due = now + rng.random_range(0..=window);
         Caller {
             told,
@@ -245,6 +262,7 @@
         (self.failures, self.overloads, self.hasty, self.hurried) = (0, 0, 0, 0);
         self.belief.renew();
         let spread = match self.told.relays {
+            _ if self.told.agent.is_some() => 0,
             0 | 1 => 0,
             relays => (Micros::from(relays) * RENEW_PACE).min(RENEW_SPREAD),
         };
@@ -266,6 +284,9 @@
     /// How long an answer is waited for: until a second call would come too late, should this one have fallen silent at once.
     /// A service that has been answering at once is given less time, one with a queue all that there is.
     fn patience(&self, now: Micros, call: Call) -> Micros {
+        if let Some(step) = self.told.step() {
+            return step + if let Call::Changes { wait, .. } = call { wait } else { step };
+        }
         let counts = match self.renewed.filter(|_| self.belief.anew()) {
             Some(at) => (at + clock::RENEWED).saturating_sub(now).max(RENEW_PATIENCE),
             None => clock::counts_after(call),
@@ -280,6 +301,9 @@
 
     /// How long a watch waits. Guards against watches of hundreds of relays that stay in step after a common answer.
     fn watch_wait(&mut self, now: Micros) -> Micros {
+        if let Some(step) = self.told.step() {
+            return step;
+        }
         let first = !self.answered && self.hurried == 0 && self.told.relays != 1;
         let usual = match first {
             true => (WATCH + many(self.told.relays) * FIRST_PACE).min(FIRST_WATCH_MOST),
@@ -325,6 +349,9 @@
         } else {
             self.overloads = self.overloads.saturating_sub(1);
         }
+        if let Some(step) = self.told.step() {
+            pause = pause.min(step / 2);
+        }
         self.due = Some(now + pause);
         let spread = many(self.told.relays) * PACE;
         let check = self.rng.random_range(0..=spread.min(FIRST_MOST));
@@ -365,6 +392,11 @@
         let took = self.out.take().map_or(0, |(_, since)| now.saturating_sub(since));
         self.failures = self.failures.saturating_add(1);
         let doubled = (self.failures - 1).min(DOUBLINGS);
+        if let Some(step) = self.told.step() {
+            // It may be silent, or answer again, at any moment, and what it then has counts at once.
+            self.due = Some(now + PAUSE.max(step / 4));
+            return;
+        }
         if self.hurries(trouble, took) {
             let spread = (many(self.told.relays) * SILENT_PACE).min(SILENT_SPREAD);
             self.due = Some(now + PAUSE + self.rng.random_range(0..=spread));
--- a/crates/listing/tests/caller.rs
+++ b/crates/listing/tests/caller.rs
@@ -9,7 +9,7 @@
 use service::{S, entry, roll};
 
 fn told(relays: u32, seed: u64) -> Told {
-    Told { relays, must_ask_in: 10 * S, seed }
+    Told { relays, must_ask_in: 10 * S, agent: None, seed }
 }
 
 fn ids(roll: &Roll) -> Vec<(&str, ServerState)> {
--- a/crates/listing/tests/clock.rs
+++ b/crates/listing/tests/clock.rs
@@ -82,7 +82,8 @@
 /// Plays a stretch. The caller's answer to each change, and its calls.
 fn play(stretch: &Stretch) -> (Vec<Option<Micros>>, Vec<Made>) {
     let mut rng = Pcg64Mcg::seed_from_u64(stretch.seed ^ 77);
-    let told = Told { relays: stretch.relays, must_ask_in: stretch.must_ask_in, seed: stretch.seed };
+    let told =
+        Told { relays: stretch.relays, must_ask_in: stretch.must_ask_in, agent: None, seed: stretch.seed };
     let mut caller = Caller::new(told, &roll(1, true, &["s-1"]), 0);
     let mut heard: Vec<Option<Micros>> = vec![None; stretch.changes.len()];
     let (mut calls, mut now, mut reloaded): (Vec<Made>, _, _) = (Vec::new(), 0, false);
@@ -228,7 +229,8 @@
         assert!(clock::counts_after(call) >= 6 * S);
     }
     for (relays, seed) in (1..=300).flat_map(|relays| (0..5).map(move |seed| (relays, seed))) {
-        let mut caller = Caller::new(Told { relays, must_ask_in: 8 * S, seed }, &roll(1, true, &["s-1"]), 0);
+        let mut caller =
+            Caller::new(Told { relays, must_ask_in: 8 * S, agent: None, seed }, &roll(1, true, &["s-1"]), 0);
         let (call, patience) = caller.call(S);
         assert!(patience + 600 * MS <= clock::counts_after(call), "{relays} relays");
         caller.failed(S + patience, Trouble::Silent);
--- a/crates/listing/tests/service/mod.rs
+++ b/crates/listing/tests/service/mod.rs
@@ -154,7 +154,7 @@
     let held = if day.held == 0 { Roll::default() } else { roll(day.held, true, &["s-1"]) };
     let callers = (0..day.callers).map(|n| {
         let seed = day.seed ^ (n as u64) << 20;
-        let told = Told { relays: day.told, must_ask_in: day.must_ask_in, seed };
+        let told = Told { relays: day.told, must_ask_in: day.must_ask_in, agent: None, seed };
         let start = n as Micros * day.start_over / day.callers as Micros;
         One { caller: Caller::new(told, &held, start), out: None }
     });
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -142,8 +142,8 @@
     addresses: BTreeMap<ServerId, SocketAddr>,
     /// The roll as discovery tells it, and which card servers are out by hand.
     withheld: Withheld,
-    /// Card servers that leave, and when this relay was told.
-    leaving: BTreeMap<ServerId, Micros>,
+    /// Card servers that leave or are gone.
+    leaving: BTreeSet<ServerId>,
     seats: BTreeMap<RequestId, Seat>,
     last_id: u32,
     probes: BTreeMap<ServerId, UnboundedSender<Errand>>,
@@ -219,7 +219,7 @@
                 version: 0,
                 addresses: BTreeMap::new(),
                 withheld: Withheld::default(),
-                leaving: BTreeMap::new(),
+                leaving: BTreeSet::new(),
                 seats: BTreeMap::new(),
                 last_id: 0,
                 probes: BTreeMap::new(),
@@ -443,7 +443,7 @@
             return;
         }
         let standing = self.seats.values().filter(|s| s.stands).filter_map(|s| s.out.as_ref());
-        let standing = standing.map(|(_, id, _)| id).filter(|id| !self.leaving.contains_key(*id));
+        let standing = standing.map(|(_, id, _)| id).filter(|id| !self.leaving.contains(*id));
         if let Some(id) = self.delays.next_to_measure(self.timers.clock.now(), standing) {
             self.wish_probe(id);
             self.feed_rest();
--- a/src/relay/servers/held.rs
+++ b/src/relay/servers/held.rs
@@ -1,6 +1,5 @@
 //! The server roll as the relay holds it: as discovery tells it, but for card servers that operators have taken out.
 
-use std::collections::btree_map::Entry;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -25,11 +24,6 @@
 }
 
 impl Relay {
-    /// Whether the roll comes only on request.
-    pub fn roll_on_request(&self) -> bool {
-        self.settings.discovery == Discovery::OnRequest
-    }
-
     pub(in crate::relay) fn take_known(&mut self, news: RollNews) {
         let update = ListUpdate::Cached(self.note_roll(news));
         self.site_news(&update);
@@ -60,14 +54,12 @@
 
     /// Notes a roll, or changes of it, as the decisions are to see it.
     fn note_entries(&mut self, entries: Vec<ServerEntry>, whole: bool) -> Arc<Vec<ServerEntry>> {
-        let now = self.timers.clock.now();
         let mut drains = 0;
         for entry in &entries {
             self.zones.extend(entry.zone.map(|zone| (entry.server.clone(), zone)));
             if entry.state == ServerState::Ready {
                 self.leaving.remove(&entry.server);
-            } else if let Entry::Vacant(leaving) = self.leaving.entry(entry.server.clone()) {
-                leaving.insert(now);
+            } else if self.leaving.insert(entry.server.clone()) {
                 drains += u64::from(entry.state == ServerState::Draining);
             }
         }
@@ -75,9 +67,7 @@
         if whole {
             let named = |id: &ServerId| entries.iter().any(|e| e.server == *id);
             let lost: Vec<ServerId> = self.addresses.keys().filter(|id| !named(id)).cloned().collect();
-            for id in lost {
-                self.leaving.entry(id).or_insert(now);
-            }
+            self.leaving.extend(lost);
         }
         // A probe of a card server that is gone has nothing left to ask.
         let gone = entries.iter().filter(|e| e.state == ServerState::Gone);
@@ -132,7 +122,7 @@
 
     /// Who leaves or is gone by what discovery says.
     pub(in crate::relay) fn leaving(&self) -> Vec<String> {
-        let by_roll = self.leaving.keys().filter(|id| !self.withheld.holds(id));
+        let by_roll = self.leaving.iter().filter(|id| !self.withheld.holds(id));
         by_roll.map(|id| id.0.as_ref().to_owned()).collect()
     }
 
@@ -142,9 +132,8 @@
     }
 
     /// Whether a head may still be written to a card server. Guards against an attempt that was placed before
-    /// the news of a drain and connects long after it.
+    /// the news of a drain and connects after it: the news may have counted as told for a while already.
     pub fn may_still_send(&self, server: &ServerId) -> bool {
-        let grace = self.settings.rules.drain_grace / 2;
-        self.leaving.get(server).is_none_or(|told| self.timers.clock.now() < told + grace)
+        !self.leaving.contains(server)
     }
 }
--- a/src/relay/servers/roll.rs
+++ b/src/relay/servers/roll.rs
@@ -298,8 +298,8 @@
 
 /// Makes the calls that [`Caller`] wants until the relay ends. Calls never overlap.
 ///
-/// When to call is not the decisions' choice on sockets: they say whether the roll is to be followed, which they want from the
-/// start where it comes only on request. A reload drops the call that is out and asks the new discovery for the
+/// When to call is not the decisions' choice on sockets: the roll is followed from the start, also where the settings say that it
+/// comes unasked, as it then lies ready at an agent and counts as told there. A reload drops the call that is out and asks the new discovery for the
 /// whole roll. Guards against waiting at an address that answers no more while card servers drain unheard of; the roll held
 /// stays in use meanwhile.
 pub async fn follow(
@@ -307,7 +307,7 @@
 ) {
     let timers = relay.borrow().timers.clone();
     let mut desk = Desk::new(discovery, &timers);
-    let mut wants = Wants { watch: relay.borrow().roll_on_request(), whole: false };
+    let mut wants = Wants { watch: true, whole: false };
     loop {
         relay.borrow_mut().list_state = caller.state();
         let due = caller.due().filter(|_| wants.watch || wants.whole);
@@ -375,7 +375,8 @@
     let held = Roll { version: known.version, whole: true, entries: known.entries.clone() };
     // A seed of its own: the decisions draw from the same one.
     let seed = seed.rotate_left(32) ^ 0x115_7e4;
-    let told = Told { relays: settings.fleet_size, must_ask_in: settings.rules.must_ask_in, seed };
+    let agent = (settings.discovery == Discovery::Pushed).then_some(settings.rules.drain_grace);
+    let told = Told { relays: settings.fleet_size, must_ask_in: settings.rules.must_ask_in, agent, seed };
     Caller::new(told, &held, now)
 }
 
--- a/src/relay/servers/witness.rs
+++ b/src/relay/servers/witness.rs
@@ -46,7 +46,7 @@
     fn bear_witness(&mut self) {
         let now = self.timers.clock.now();
         let Some(neighbors) = self.neighbors.as_mut().filter(|_| !self.closing) else { return };
-        let listed = self.addresses.keys().filter(|id| !self.leaving.contains_key(*id));
+        let listed = self.addresses.keys().filter(|id| !self.leaving.contains(*id));
         for server in neighbors.duties(now, listed) {
             self.errand(server, Errand::Look);
         }
--- a/tests/loopback/mod.rs
+++ b/tests/loopback/mod.rs
@@ -6,7 +6,7 @@
 
 use honeyknot::relay::process::config::Config;
 use honeyknot::relay::{Listeners, serve_on};
-use serde_json::json;
+use serde_json::{Value, json};
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
@@ -59,6 +59,10 @@
 pub type Servers<'a> = &'a [(&'a str, SocketAddr, &'a str)];
 
 pub fn config_text(servers: Servers, sockets: u64, discovery: SocketAddr) -> String {
+    config_value(servers, sockets, discovery).to_string()
+}
+
+pub fn config_value(servers: Servers, sockets: u64, discovery: SocketAddr) -> Value {
     let servers: Vec<_> = servers
         .iter()
         .map(|(id, at, state)| json!({"id": id, "addr": at.to_string(), "state": state}))
@@ -75,7 +79,6 @@
                 "retryAfter": true, "maxRetryAfterUs": 600000, "idleCloseUs": 30000000},
             "rules": {"startCapacity": 0.3, "coldUs": 9000000, "overloadFactor": 3.0,
                 "fallUs": 2000000, "stopSendingWithinUs": 500000, "mustAskInUs": 10000000}}})
-    .to_string()
 }
 
 pub fn config(servers: Servers, sockets: u64, discovery: SocketAddr) -> Result<Config, String> {
@@ -98,7 +101,11 @@
     }
 
     pub async fn with_discovery(servers: Servers<'_>, sockets: u64, discovery: SocketAddr) -> Relay {
-        let config = config(servers, sockets, discovery).expect("a sound configuration");
+        Relay::of(config_value(servers, sockets, discovery)).await
+    }
+
+    pub async fn of(config: Value) -> Relay {
+        let config = Config::read(config.to_string().as_bytes(), |_| None).expect("a sound configuration");
         let (clients, at) = listen().await;
         let (operators, admin) = listen().await;
         let (stop, stopped) = oneshot::channel();
@@ -137,6 +144,66 @@
     done.expect("the case ends");
 }
 
+/// The next call to discovery, up to the end of its head.
+pub async fn call(discovery: &TcpListener, wanted: &str) -> Line {
+    let mut end = BufReader::new(discovery.accept().await.expect("a call").0);
+    let path = line(&mut end).await;
+    assert!(path.starts_with(wanted), "{path}");
+    while line(&mut end).await != "\r\n" {}
+    end
+}
+
+pub async fn answer(mut end: Line, status: &str, body: &str) {
+    let head = format!("HTTP/1.1 {status}\r\nConnection: close\r\nContent-Length: {}\r\n\r\n", body.len());
+    say(&mut end, &(head + body)).await;
+}
+
+/// A list in discovery's form.
+pub fn list(version: u64, whole: bool, servers: Servers) -> String {
+    let entry = |(id, at, state): &(&str, SocketAddr, &str)| json!({"id": id, "addr": at.to_string(), "state": state});
+    let servers: Vec<_> = servers.iter().map(entry).collect();
+    json!({"version": version, "full": whole, "servers": servers}).to_string()
+}
+
+/// A card server whose connections come up late: its queue is full until [`Late::let_in`].
+pub struct Late {
+    listener: std::net::TcpListener,
+    filled: Vec<std::net::TcpStream>,
+    pub at: SocketAddr,
+}
+
+impl Late {
+    pub fn new() -> Late {
+        use std::net::TcpStream as Stream;
+        let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
+        socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
+        let listener = socket.listen(1).expect("a listener").into_std().expect("a plain listener");
+        let at = listener.local_addr().expect("an address");
+        let mut filled = Vec::new();
+        // The system lets in one more than it is asked to; the first that does not come up tells.
+        while let Ok(stream) = Stream::connect_timeout(&at, Duration::from_millis(100)) {
+            filled.push(stream);
+            assert!(filled.len() < 100, "a queue that never fills");
+        }
+        Late { listener, filled, at }
+    }
+
+    /// Empties the queue. Who dialled meanwhile comes up when the system tries again, a second or so after it began.
+    pub fn let_in(&mut self) {
+        self.listener.set_nonblocking(false).expect("an option");
+        for _ in self.filled.drain(..) {
+            self.listener.accept().expect("one that waited");
+        }
+    }
+
+    /// The next connection, once it comes up, and all that it brings up to its end.
+    pub async fn next(self) -> String {
+        self.listener.set_nonblocking(true).expect("an option");
+        let listener = TcpListener::from_std(self.listener).expect("a listener");
+        rest(BufReader::new(listener.accept().await.expect("a connection").0)).await
+    }
+}
+
 pub const OPEN: &str = "OPEN 9b1f 7f3a c=study,d=26000,g=5c0f,x=1\r\n";
 
 /// Each connection has an id of its own.
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -8,7 +8,9 @@
 use std::time::Duration;
 
 use honeyknot::relay::process::config::Config;
-use loopback::{Line, OPEN, Relay, case, config, config_text, line, listen, open, rest, say, session};
+use loopback::{
+    OPEN, Relay, answer, call, case, config, config_text, line, listen, open, rest, say, session,
+};
 use serde_json::json;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
@@ -287,20 +289,6 @@
 const WATCH: &str = "GET /registry/instances?index=1&wait=";
 const WHOLE: &str = "GET /registry/instances HTTP/1.1";
 
-/// The next call to discovery, up to the end of its head.
-async fn call(discovery: &TcpListener, wanted: &str) -> Line {
-    let mut end = BufReader::new(discovery.accept().await.expect("a call").0);
-    let path = line(&mut end).await;
-    assert!(path.starts_with(wanted), "{path}");
-    while line(&mut end).await != "\r\n" {}
-    end
-}
-
-async fn answer(mut end: Line, status: &str, body: &str) {
-    let head = format!("HTTP/1.1 {status}\r\nConnection: close\r\nContent-Length: {}\r\n\r\n", body.len());
-    say(&mut end, &(head + body)).await;
-}
-
 fn leaving(whole: bool, at: SocketAddr) -> String {
     let entry = json!({"id": "s-1", "addr": at.to_string(), "state": "leaving"});
     json!({"version": 2, "full": whole, "servers": [entry]}).to_string()
