--- /dev/null
+++ b/src/relay/clients/attempt.rs
@@ -0,0 +1,107 @@
+//! One attempt at a card server: the dial, the head, the first line of its answer.
+
+use std::io;
+
+use bytes::BytesMut;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use super::lines::{self, SessionHead, Word, report_value};
+use crate::interface::*;
+use crate::relay::{Order, Placement, Shared};
+
+/// How an attempt went.
+pub(super) enum Came {
+    /// The card server took the session; what it has sent so far begins with its `UP`.
+    Up(TcpStream, BytesMut),
+    /// It ended without a session.
+    Ended(Outcome, Option<LoadReport>),
+    /// The card server served it to its end at once; these are its words.
+    Served(BytesMut),
+    /// The client left.
+    Left,
+    /// The decisions answered while it was out.
+    Answered(Order),
+}
+
+/// Whether the last byte of the head was written: up to then the card server cannot have run it.
+pub(super) type Sent = std::cell::Cell<bool>;
+
+/// Connects, sends the head and reads the card server's first line.
+pub(super) async fn dial(
+    relay: &Shared, head: &SessionHead, place: &Placement, due: Micros, sent: &Sent,
+) -> Came {
+    let timers = relay.borrow().timers.clone();
+    let wait = relay.borrow().connect_timeout();
+    let dialled = tokio::select! {
+        dialled = TcpStream::connect(place.address) => dialled.ok(),
+        () = timers.nap(wait) => None,
+    };
+    let Some(mut server) = dialled.filter(|_| relay.borrow().may_still_send(&place.server)) else {
+        return Came::Ended(Outcome::ConnectFailed, None);
+    };
+    let _ = server.set_nodelay(true);
+    let left = due.saturating_sub(timers.clock.now()) / 1_000;
+    if write_head(&mut server, head, left.max(1)).await.is_err() {
+        return Came::Ended(Outcome::ConnectFailed, None);
+    }
+    sent.set(true);
+    relay.borrow_mut().meter_sent(head);
+    read_answer(relay, server).await
+}
+
+/// Writes the head with another wait, gathered from its pieces.
+async fn write_head(server: &mut TcpStream, head: &SessionHead, wait_ms: u64) -> io::Result<()> {
+    let digits = wait_ms.to_string();
+    let mut pieces = head.with_patience(digits.as_bytes());
+    let mut pieces = &mut pieces[..];
+    while pieces.iter().any(|p| !p.is_empty()) {
+        let written = server.write_vectored(pieces).await?;
+        if written == 0 {
+            return Err(io::ErrorKind::WriteZero.into());
+        }
+        io::IoSlice::advance_slices(&mut pieces, written);
+    }
+    Ok(())
+}
+
+async fn read_answer(relay: &Shared, mut server: TcpStream) -> Came {
+    let mut bytes = BytesMut::with_capacity(512);
+    let end = loop {
+        match lines::first_line(&bytes) {
+            Ok(Some(end)) => break end,
+            Ok(None) => {}
+            Err(_) => return Came::Ended(Outcome::Error, None),
+        }
+        match server.read_buf(&mut bytes).await {
+            Ok(0) | Err(_) => return Came::Ended(Outcome::Reset, None),
+            Ok(_) => {}
+        }
+    };
+    let report = |text: &str| {
+        let relay = relay.borrow();
+        (!text.is_empty()).then(|| relay.names.load_report(|name| report_value(text, name)))
+    };
+    match Word::read(&bytes[..end]) {
+        Word::Up => Came::Up(server, bytes),
+        Word::Bye(_) => Came::Served(bytes),
+        Word::Move => Came::Ended(Outcome::Cancelled, None),
+        Word::Busy(text) => Came::Ended(Outcome::Full, report(text)),
+        Word::Err(text) => Came::Ended(Outcome::Error, report(text)),
+        _ => Came::Ended(Outcome::Error, None),
+    }
+}
+
+/// Dials the card server of a session from before the run, once.
+pub(super) async fn dial_again(
+    relay: &Shared, head: &SessionHead, address: std::net::SocketAddr,
+) -> Option<(TcpStream, BytesMut)> {
+    let mut server = TcpStream::connect(address).await.ok()?;
+    let _ = server.set_nodelay(true);
+    server.write_all(head.as_sent()).await.ok()?;
+    relay.borrow_mut().meter_sent(head);
+    match read_answer(relay, server).await {
+        Came::Up(server, bytes) => Some((server, bytes)),
+        _ => None,
+    }
+}
--- a/src/relay/clients/mod.rs
+++ b/src/relay/clients/mod.rs
@@ -3,8 +3,10 @@
 //! In come connections and bytes; out go plain calls to the hub (a client asks, stands, leaves), and the hub's orders come back
 //! to each session by a queue of its own. Nothing here chooses a card server.
 
+mod attempt;
 pub mod crowd;
 pub(in crate::relay) mod door;
 pub mod farewell;
 pub mod lines;
 pub mod session;
+pub mod standing;
--- a/src/relay/process/handover.rs
+++ b/src/relay/process/handover.rs
@@ -23,7 +23,7 @@
 
 use crate::interface::*;
 use crate::relay::clients::door;
-use crate::relay::clients::session::{self, Bundle, Passed};
+use crate::relay::clients::standing::{self, Bundle, Passed};
 use crate::relay::wheel::Timers;
 use crate::relay::{Relay, Shared};
 pub use kept::Folder;
@@ -389,7 +389,7 @@
                 link.lent = link.lent.saturating_sub(2);
             }
             if let (Some(client), Some(server)) = sockets
-                && let Err(why) = session::take_up(relay, bundle, client, server)
+                && let Err(why) = standing::take_up(relay, bundle, client, server)
             {
                 warn!(target: "handover", %why, "a session that was passed here cannot be taken up");
             }
