--- a/crates/decisions/src/decide.rs
+++ b/crates/decisions/src/decide.rs
@@ -618,18 +618,16 @@
                 };
                 within && now.saturating_sub(since) < window
             }
-            Some(Effect::AtMostOnce) | None => false,
+            _ => false,
         }
     }
 
     /// Whether a refusal, which tells the client that a repeat is harmless, would be true.
     fn may_refuse(&self, flow: &Flow) -> bool {
-        flow.may_have_run.is_none()
-            || match self.class(flow).map(|c| c.effect) {
-                Some(Effect::Idempotent) => true,
-                Some(Effect::Deduplicated { scope, .. }) => scope == Scope::All,
-                Some(Effect::AtMostOnce) | None => false,
-            }
+        let effect = self.class(flow).map(|c| c.effect);
+        let harmless =
+            matches!(effect, Some(Effect::Idempotent | Effect::Deduplicated { scope: Scope::All, .. }));
+        harmless || flow.may_have_run.is_none()
     }
 
     fn balancers(&self) -> f64 {
@@ -813,7 +811,11 @@
         flow.out = Some(id.clone());
         flow.sent_at = now;
         flow.rounds = 0;
-        out.push(Action::Place { id: flow.request.id, server: id, timeout });
+        let send_before = match (flow.may_have_run, self.class(&flow).map(|c| c.effect)) {
+            (Some((.., since)), Some(Effect::Deduplicated { window, .. })) => Some(since + window),
+            _ => None,
+        };
+        out.push(Action::Place { id: flow.request.id, server: id, timeout, send_before });
         self.flows.insert(flow.request.id, flow);
     }
 
--- a/src/relay/clients/attempt.rs
+++ b/src/relay/clients/attempt.rs
@@ -37,7 +37,11 @@
         dialled = TcpStream::connect(place.address) => dialled.ok(),
         () = timers.nap(wait) => None,
     };
-    let Some(mut server) = dialled.filter(|_| relay.borrow().may_still_send(&place.server)) else {
+    // Guards against a connection that came up late: meanwhile the card server may have begun to drain, and the time in
+    // which card servers still know the first of two attempts may have passed.
+    let in_time = |now| place.send_before.is_none_or(|end| now < end);
+    let may_send = || relay.borrow().may_still_send(&place.server) && in_time(timers.clock.now());
+    let Some(mut server) = dialled.filter(|_| may_send()) else {
         return Came::Ended(Outcome::ConnectFailed, None);
     };
     let _ = server.set_nodelay(true);
@@ -94,9 +98,13 @@
 
 /// Dials the card server of a session from before the run, once.
 pub(super) async fn dial_again(
-    relay: &Shared, head: &SessionHead, address: std::net::SocketAddr,
+    relay: &Shared, head: &SessionHead, id: &ServerId, address: std::net::SocketAddr,
 ) -> Option<(TcpStream, BytesMut)> {
     let mut server = TcpStream::connect(address).await.ok()?;
+    // Guards against a connection that comes up after an operator has taken the card server out.
+    if relay.borrow().withholds(id) {
+        return None;
+    }
     let _ = server.set_nodelay(true);
     server.write_all(head.as_sent()).await.ok()?;
     relay.borrow_mut().meter_sent(head);
--- a/src/relay/clients/lines.rs
+++ b/src/relay/clients/lines.rs
@@ -211,7 +211,8 @@
         let Ok(text) = std::str::from_utf8(bare(line)) else { return Word::Other };
         let (word, rest) = text.split_once(' ').unwrap_or((text, ""));
         match word {
-            "UP" => Word::Up,
+            // Without a receipt no card server made it for this session.
+            "UP" if !rest.is_empty() => Word::Up,
             "BYE" => Word::Bye(rest),
             "MOVE" => Word::Move,
             "ERR" => Word::Err(rest),
--- a/src/relay/clients/session.rs
+++ b/src/relay/clients/session.rs
@@ -114,18 +114,18 @@
         }
     }
 
-    /// Waits until the client leaves. What it sends meanwhile is kept, up to a buffer.
-    async fn gone(&mut self) {
+    /// Waits until the client leaves, or has sent more than is kept for its card server.
+    async fn gone(&mut self) -> Strayed {
         while self.bytes.len() < BUFFER {
-            match self.stream.read_buf(&mut self.bytes).await {
-                Ok(0) | Err(_) => return,
-                Ok(_) => {}
+            if let Strayed::Left = self.strays().await {
+                return Strayed::Left;
             }
         }
-        std::future::pending().await
+        Strayed::Spoke
     }
 
-    /// Waits until the client leaves or speaks, though it has to wait for its answer.
+    /// Waits until the client leaves or speaks, though it has to wait for its answer. A client that ends its sending has left:
+    /// that is how the line protocol gives a request up, and a side that ends its connection ends the session.
     async fn strays(&mut self) -> Strayed {
         match self.stream.read_buf(&mut self.bytes).await {
             Ok(0) | Err(_) => Strayed::Left,
@@ -213,11 +213,11 @@
         loop {
             let order = tokio::select! {
                 biased;
-                order = self.orders.recv() => order.unwrap_or(Order::Fail),
                 strayed = self.client.strays() => match strayed {
                     Strayed::Left => return,
                     Strayed::Spoke => self.forgone("spoke"),
                 },
+                order = self.orders.recv() => order.unwrap_or(Order::Fail),
                 () = &mut overdue => self.forgone("late"),
             };
             match order {
@@ -272,6 +272,14 @@
         loop {
             tokio::select! {
                 biased;
+                // First, so that a connection that comes up as the client leaves carries nothing.
+                strayed = self.client.strays() => return match strayed {
+                    Strayed::Left => Came::Left,
+                    Strayed::Spoke => {
+                        self.relay.borrow_mut().meter_failed("spoke");
+                        Came::Answered(Order::Fail)
+                    }
+                },
                 came = &mut dial => return came,
                 () = timers.until(due) => {
                     let outcome = if sent.get() { Outcome::Timeout } else { Outcome::ConnectFailed };
@@ -285,13 +293,6 @@
                     Some(_) => {}
                     None => return Came::Answered(Order::Fail),
                 },
-                strayed = self.client.strays() => return match strayed {
-                    Strayed::Left => Came::Left,
-                    Strayed::Spoke => {
-                        self.relay.borrow_mut().meter_failed("spoke");
-                        Came::Answered(Order::Fail)
-                    }
-                },
             }
         }
     }
@@ -321,8 +322,13 @@
     };
     let (timers, due) = (client.timers.clone(), relay.borrow().adopts_until());
     let up = tokio::select! {
+        biased;
+        // First, so that nothing is sent on for a client that has gone.
+        strayed = client.gone() => match strayed {
+            Strayed::Left => return relay.borrow_mut().meter_head(&head, Answer::Failed),
+            Strayed::Spoke => None,
+        },
         up = find_again(&relay, &head, &server) => Some(up),
-        () = client.gone() => return relay.borrow_mut().meter_head(&head, Answer::Failed),
         () = timers.until(due) => None,
     };
     let Some((stream, first)) = up else {
@@ -343,7 +349,7 @@
         let address = relay.borrow().address(server).filter(|_| !relay.borrow().withholds(server));
         if let Some(address) = address {
             let came = tokio::select! {
-                came = dial_again(relay, head, address) => came,
+                came = dial_again(relay, head, server, address) => came,
                 () = timers.nap(ADOPT_TRY) => None,
             };
             if let Some(up) = came {
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -86,6 +86,8 @@
     pub address: SocketAddr,
     /// How long the answer may take.
     pub timeout: Micros,
+    /// A repeat must be written before this.
+    pub send_before: Option<Micros>,
 }
 
 /// A study session as the relay knows it.
@@ -484,7 +486,9 @@
 
     fn carry_out(&mut self, action: Action) {
         match action {
-            Action::Place { id, server, timeout } => self.place(id, server, timeout),
+            Action::Place { id, server, timeout, send_before } => {
+                self.place(id, server, timeout, send_before)
+            }
             Action::Refuse { id, retry_after } => {
                 let asked = self.seats.get(&id).map(|s| s.asked);
                 let took = asked.map(|at| self.timers.clock.now().saturating_sub(at));
@@ -511,7 +515,7 @@
         }
     }
 
-    fn place(&mut self, id: RequestId, server: ServerId, timeout: Micros) {
+    fn place(&mut self, id: RequestId, server: ServerId, timeout: Micros, send_before: Option<Micros>) {
         let now = self.timers.clock.now();
         let Some(seat) = self.seats.get_mut(&id) else { return };
         let attempt = AttemptId(seat.attempts);
@@ -524,7 +528,7 @@
             None => Outcome::ConnectFailed,
             Some(&address) => {
                 seat.out = Some((attempt, server.clone(), now));
-                let place = Placement { attempt, server: server.clone(), address, timeout };
+                let place = Placement { attempt, server: server.clone(), address, timeout, send_before };
                 let _ = seat.orders.send(Order::Place(place));
                 self.site_placed(id, &server);
                 self.meter_placed(attempt, &server);
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -181,7 +181,7 @@
 
 fn encode(inst: &str, action: Action) -> Value {
     match action {
-        Action::Place { id, server, timeout } => json!(["handOff", inst, id.0, &*server.0, timeout]),
+        Action::Place { id, server, timeout, .. } => json!(["handOff", inst, id.0, &*server.0, timeout]),
         Action::Refuse { id, retry_after } => json!(["reject", inst, id.0, retry_after]),
         Action::Fail(id) => json!(["respondError", inst, id.0]),
         Action::Move(id) => json!(["goAway", inst, id.0]),
--- a/tests/loopback/mod.rs
+++ b/tests/loopback/mod.rs
@@ -188,6 +188,18 @@
         Late { listener, filled, at }
     }
 
+    /// Waits until somebody else's dial is under way, as the system's table of connections tells.
+    pub async fn dialled(&self) {
+        let port = format!(":{:04X} 02 ", self.at.port());
+        loop {
+            let table = std::fs::read_to_string("/proc/net/tcp").expect("the table of connections");
+            if table.lines().any(|line| line.contains(&port)) {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+
     /// Empties the queue. Who dialled meanwhile comes up when the system tries again, a second or so after it began.
     pub fn let_in(&mut self) {
         self.listener.set_nonblocking(false).expect("an option");
--- a/tests/rare_moments.rs
+++ b/tests/rare_moments.rs
@@ -5,8 +5,9 @@
 
 use std::time::Duration;
 
-use loopback::{Late, OPEN, Relay, answer, call, case, config_value, list, listen, rest};
+use loopback::{Late, OPEN, Relay, answer, call, case, config_value, line, list, listen, rest, say, session};
 use serde_json::{Value, json};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::time::timeout;
 
 /// Longer than anything here should take, shorter than what the relay does by itself when nothing happens.
@@ -65,3 +66,151 @@
         assert!(rest(client).await.starts_with("BUSY"));
     });
 }
+
+/// A connection comes up in the same moment in which its client leaves.
+#[test]
+fn a_client_that_left_while_its_connection_came_up_is_not_sent_on() {
+    case(async {
+        let mut late = Late::new();
+        let config =
+            config_value(&[("s-1", late.at, "active")], 256, "127.0.0.1:1".parse().expect("an address"));
+        let relay = Relay::of(patient(config, &[])).await;
+        let client = relay.client(OPEN).await;
+        late.dialled().await;
+        // The relay shares this thread: it sees both only when both have happened.
+        late.let_in();
+        drop(client.into_inner().into_std().expect("a plain socket"));
+        std::thread::sleep(Duration::from_millis(1_500));
+        let got = timeout(SOON, late.next()).await.expect("the dial comes up");
+        assert_eq!(got, "", "nothing for a client that has gone");
+    });
+}
+
+/// The same, for a session from before the run.
+#[test]
+fn a_returning_client_that_left_while_its_connection_came_up_is_not_sent_on() {
+    case(async {
+        let mut late = Late::new();
+        let config =
+            config_value(&[("s-1", late.at, "active")], 256, "127.0.0.1:1".parse().expect("an address"));
+        let relay = Relay::of(patient(config, &[])).await;
+        let client = relay.client("OPEN 9b1f 7f3a c=study,d=40000,at=s-1\r\n").await;
+        late.dialled().await;
+        late.let_in();
+        drop(client.into_inner().into_std().expect("a plain socket"));
+        std::thread::sleep(Duration::from_millis(1_500));
+        let got = timeout(SOON, late.next()).await.expect("the dial comes up");
+        assert_eq!(got, "", "nothing for a client that has gone");
+    });
+}
+
+/// A returning client that waits for its card server and says more than is kept is answered, and its end is seen.
+#[test]
+fn a_returning_client_that_floods_is_answered_while_its_card_server_is_unknown() {
+    case(async {
+        let relay = Relay::start(&[], 256).await;
+        let mut client = relay.client("OPEN 9b1f 7f3a c=study,d=40000,at=s-9\r\n").await;
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        client.get_mut().write_all(&[b'a'; 20_000]).await.expect("a write");
+        assert_eq!(timeout(SOON, rest(client)).await.expect("an answer at once"), "ERR\r\n");
+    });
+}
+
+/// An operator takes a card server out while a session from before the run is being dialled there.
+#[test]
+fn a_returning_session_is_not_sent_to_a_card_server_that_was_taken_out_meanwhile() {
+    case(async {
+        let mut late = Late::new();
+        let config =
+            config_value(&[("s-1", late.at, "active")], 256, "127.0.0.1:1".parse().expect("an address"));
+        let relay = Relay::of(patient(config, &[])).await;
+        let _client = relay.client("OPEN 9b1f 7f3a c=study,d=40000,at=s-1\r\n").await;
+        late.dialled().await;
+        assert_eq!(relay.call("maint-on s-1\n").await, "YES\n");
+        late.let_in();
+        let got = timeout(SOON, late.next()).await.expect("the dial comes up");
+        assert_eq!(got, "", "nothing to a card server that is out");
+    });
+}
+
+/// The second of two attempts comes up when the card servers no longer know the first.
+#[test]
+fn a_repeat_whose_connection_comes_up_after_the_key_time_is_not_sent() {
+    case(async {
+        let ((first, first_at), (discovery, discovery_at)) = (listen().await, listen().await);
+        let mut late = Late::new();
+        let mut config = config_value(&[("s-1", first_at, "active")], 256, discovery_at);
+        config["settings"]["services"][0]["effect"] = json!("deduplicated");
+        config["settings"]["services"][0]["group"] = json!("all");
+        config["settings"]["services"][0]["keyTtlUs"] = json!(700_000);
+        let relay = Relay::of(patient(config, &[])).await;
+        let watch = call(&discovery, "GET /registry/instances?index=1&").await;
+        let client = relay.client(OPEN).await;
+        let (held, _) = session(&first).await;
+        let both = [("s-1", first_at, "active"), ("s-2", late.at, "active")];
+        answer(watch, "200 OK", &list(2, false, &both)).await;
+        let _heard = call(&discovery, "GET /registry/instances?index=2&").await;
+        // It may have run there; the repeat is placed at once, well within the key time, and comes up after it.
+        drop(held);
+        late.dialled().await;
+        std::thread::sleep(Duration::from_millis(800));
+        late.let_in();
+        let got = timeout(SOON, late.next()).await.expect("the dial comes up");
+        assert_eq!(got, "", "a repeat after the key time");
+        let answered = timeout(SOON, rest(client)).await.expect("one final answer");
+        assert!(answered.starts_with("BUSY"), "{answered}");
+    });
+}
+
+/// An answer that is no card server's word for this session serves nobody.
+#[test]
+fn spoilt_answers_end_the_attempt_and_the_client_gets_one_answer() {
+    let endless = "a".repeat(100_000);
+    for spoilt in ["UP\r\n", "UP \r\n", "PONG\r\n", "\r\n", "\u{7}\r\n", "UP r1\n", &endless] {
+        case(async {
+            let (server, at) = listen().await;
+            let relay = Relay::start(&[("s-1", at, "active")], 256).await;
+            let client = relay.client(OPEN).await;
+            let (mut held, _) = session(&server).await;
+            let _ = held.get_mut().write_all(spoilt.as_bytes()).await;
+            let answer = timeout(SOON, rest(client)).await.expect("one final answer");
+            assert!(answer.starts_with("BUSY"), "{spoilt:.20}: {answer}");
+        });
+    }
+}
+
+/// Half a line of a card server is under way when the relay is told to end, and its rest comes too late.
+#[test]
+fn half_a_line_does_not_keep_a_client_from_its_move() {
+    case(async {
+        let (server, at) = listen().await;
+        let relay = Relay::start(&[("s-1", at, "active")], 256).await;
+        let mut client = relay.client(OPEN).await;
+        let (mut held, _) = session(&server).await;
+        say(&mut held, "UP r1\r\ncard 1\r\ncard 2 o").await;
+        assert_eq!(line(&mut client).await, "UP r1\r\n");
+        relay.stop.send(()).expect("a relay that runs");
+        assert_eq!(timeout(SOON, rest(client)).await.expect("a move"), "card 1\r\nMOVE\r\n");
+        drop(held);
+        assert_eq!(relay.ended.await.expect("no panic"), Ok(()));
+    });
+}
+
+/// A line longer than any may be passes as it comes: nothing of it is kept for good.
+#[test]
+fn a_line_that_is_too_long_passes_as_it_comes() {
+    case(async {
+        let (server, at) = listen().await;
+        let relay = Relay::start(&[("s-1", at, "active")], 256).await;
+        let mut client = relay.client(OPEN).await;
+        let (mut held, _) = session(&server).await;
+        let long = "b".repeat(30_000);
+        say(&mut held, &format!("UP r1\r\n{long}")).await;
+        assert_eq!(line(&mut client).await, "UP r1\r\n");
+        let mut some = vec![0; 20_000];
+        timeout(SOON, client.read_exact(&mut some)).await.expect("it passes").expect("bytes");
+        say(&mut held, "\r\nBYE\r\n").await;
+        drop(held);
+        assert_eq!(rest(client).await, format!("{}\r\nBYE\r\n", &long[20_000..]));
+    });
+}
