Who stands at the door of a relay that ends, or rests too long, has an answer before its end

A connection that had its PONG and rested was dropped after 2.5 s, and everybody at the door at the exit: a request that arrived in that moment was reset or read and lost. They now get BUSY, an orderly end and a bounded wait for what still comes (clients/session.rs, First::Rests; crowd.rs, LastCall; shutdown.rs). BUSY promises nothing and is true: what arrives then is never sent on. New tests: the door at the relay's end, the end of a resting connection, descriptors for all else while idle clients hold all they can, ready while discovery refuses or is silent.

--- a/src/relay/clients/crowd.rs
+++ b/src/relay/clients/crowd.rs
@@ -5,16 +5,33 @@
 //! room first, then who has said nothing, the oldest first; then who has begun a first line and got no further for
 //! longest. Guards against turning out a client on a slow link for a flood of silent ones.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::future::Future;
 use std::rc::Rc;
 
+use tokio::sync::Notify;
 use tokio::task::AbortHandle;
 
 /// Everybody at the door, in the order in which they make room.
 #[derive(Clone, Default)]
-pub struct Crowd(Rc<RefCell<Door>>);
+pub struct Crowd(Rc<RefCell<Door>>, Rc<LastCall>);
+
+/// The moment at which the relay ends and nobody can stay at the door.
+#[derive(Default)]
+pub struct LastCall {
+    called: Cell<bool>,
+    heard: Notify,
+}
+
+impl LastCall {
+    /// Waits for it; at once if it has been.
+    pub async fn made(&self) {
+        if !self.called.get() {
+            self.heard.notified().await;
+        }
+    }
+}
 
 /// How far somebody at the door is; who is less far makes room first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -71,6 +88,13 @@
     }
 }
 
+impl Place {
+    /// The moment at which nobody can stay any more.
+    pub fn last_call(&self) -> Rc<LastCall> {
+        self.crowd.1.clone()
+    }
+}
+
 impl Drop for Place {
     fn drop(&mut self) {
         self.crowd.0.borrow_mut().standing.remove(&self.rank);
@@ -88,6 +112,12 @@
         }
     }
 
+    /// Has everybody at the door answered or ended, as the relay ends.
+    pub fn call_last(&self) {
+        self.1.called.set(true);
+        self.1.heard.notify_waiters();
+    }
+
     /// How many stand there.
     pub fn len(&self) -> usize {
         self.0.borrow().standing.len()
--- a/src/relay/clients/session.rs
+++ b/src/relay/clients/session.rs
@@ -35,7 +35,13 @@
     let timers = relay.borrow().timers.clone();
     let mut side = Client { stream: client, bytes: BytesMut::with_capacity(512), timers, _held: held };
     match side.first_line(&relay, &mut place).await {
-        Ok(Some(head)) => {
+        // What it may be asking in this moment is never read, so it is turned away: that promises nothing and is true. Guards against
+        // a request that arrives as the connection is shut, and would be lost without an answer.
+        Ok(Some(First::Rests)) => {
+            place.answered();
+            side.farewell(&lines::busy(0)).await;
+        }
+        Ok(Some(First::Asks(head))) => {
             let Some(_open) = relay.borrow().open_id(&head) else {
                 place.answered();
                 debug!(target: "client", why = "the id of an open connection, or no known class", "turned away");
@@ -67,20 +73,20 @@
 }
 
 impl Client {
-    /// Reads lines until the head of a session; none if there is nothing to answer.
-    async fn first_line(
-        &mut self, relay: &Shared, place: &mut Place,
-    ) -> Result<Option<SessionHead>, Malformed> {
+    /// Reads lines until the head of a session; none if there is nothing to answer. Who rests after a `PONG` is let rest for a while.
+    async fn first_line(&mut self, relay: &Shared, place: &mut Place) -> Result<Option<First>, Malformed> {
         let timers = self.timers.clone();
         let due = timers.clock.now() + HEAD_WAIT;
-        let mut pinged = false;
+        let (mut pinged, last_call) = (false, place.last_call());
         loop {
             let end = tokio::select! {
+                biased;
                 end = self.line(place) => end?,
                 () = timers.until(due) => match pinged && self.bytes.is_empty() {
-                    true => None,
+                    true => return Ok(Some(First::Rests)),
                     false => return Err(Malformed("a first line is not whole in time")),
                 },
+                () = last_call.made() => return Ok(Some(First::Rests)),
             };
             let Some(end) = end else { return Ok(None) };
             let line = self.bytes.split_to(end).freeze();
@@ -88,7 +94,7 @@
                 return Err(Malformed("more than a first line before any answer"));
             }
             if lines::bare(&line) != b"PING" {
-                return SessionHead::parse(line).map(Some);
+                return SessionHead::parse(line).map(|head| Some(First::Asks(head)));
             }
             let answer: &[u8] = if relay.borrow().closing() { b"BUSY\r\n" } else { b"PONG\r\n" };
             if self.stream.write_all(answer).await.is_err() {
@@ -143,6 +149,14 @@
     }
 }
 
+/// What comes of a connection at the door.
+enum First {
+    /// It asks for a session.
+    Asks(SessionHead),
+    /// It has said nothing for too long after a `PONG`, or the relay ends.
+    Rests,
+}
+
 /// What a client did that has to wait for its answer.
 enum Strayed {
     /// It left.
--- a/src/relay/process/shutdown.rs
+++ b/src/relay/process/shutdown.rs
@@ -75,6 +75,7 @@
     }
     let (standing, asking) = relay.borrow().open();
     info!(target: "shutdown", sessions = standing.len(), requests = asking, "left over");
+    relay.borrow().crowd.call_last();
     // The last lines are on their way: exiting now could reset the connections that carry them.
     let last = timers.clock.now() + LINGER;
     timers.until(last.min(kill - GONE_BEFORE)).await;
--- a/tests/rare_moments.rs
+++ b/tests/rare_moments.rs
@@ -214,3 +214,73 @@
         assert_eq!(rest(client).await, format!("{}\r\nBYE\r\n", &long[20_000..]));
     });
 }
+
+/// Connections at the door as the relay ends: one that rests after a `PONG`, one in the middle of its first line, one that says
+/// nothing. Each has an answer before its end, and a request that arrives in that moment finds one.
+#[test]
+fn who_stands_at_the_door_of_a_relay_that_ends_has_an_answer() {
+    case(async {
+        let relay = Relay::start(&[], 256).await;
+        let mut rests = relay.client("PING\r\n").await;
+        assert_eq!(line(&mut rests).await, "PONG\r\n");
+        let (slow, silent) = (relay.client("OPEN 9b20 7f3a c=st").await, relay.client("").await);
+        relay.stop.send(()).expect("a relay that runs");
+        let ended = timeout(SOON, async { (rest(rests).await, rest(slow).await, rest(silent).await) });
+        let ended = ended.await.expect("all have ended");
+        assert_eq!(ended, ("BUSY\r\n".into(), "BUSY\r\n".into(), "BUSY\r\n".into()));
+        assert_eq!(relay.ended.await.expect("no panic"), Ok(()));
+    });
+}
+
+/// A request arrives on a resting connection after the relay has begun to end it: its client reads an answer and an orderly end.
+#[test]
+fn a_request_that_meets_the_end_of_a_resting_connection_is_not_reset() {
+    case(async {
+        let relay = Relay::start(&[], 256).await;
+        let mut client = relay.client("PING\r\n").await;
+        assert_eq!(line(&mut client).await, "PONG\r\n");
+        // Ended by itself, as it rests too long; the request is written when the answer has come.
+        assert_eq!(timeout(SOON, line(&mut client)).await.expect("an end"), "BUSY\r\n");
+        say(&mut client, OPEN).await;
+        assert_eq!(rest(client).await, "");
+    });
+}
+
+/// Idle clients hold all that they can get: discovery, card servers, probes and operators still get their descriptors.
+#[test]
+fn a_door_full_of_idle_clients_leaves_descriptors_for_everything_else() {
+    case(async {
+        let ((server, at), (discovery, discovery_at)) = (listen().await, listen().await);
+        let relay = Relay::with_discovery(&[("s-1", at, "active")], 96, discovery_at).await;
+        let mut idle = Vec::new();
+        for _ in 0..400 {
+            idle.push(relay.client("PING\r\n").await);
+        }
+        let watch =
+            timeout(SOON, call(&discovery, "GET /registry/instances?index=1&")).await.expect("a call");
+        answer(watch, "503 Busy", "").await;
+        timeout(SOON, call(&discovery, "GET /registry/instances?index=1&"))
+            .await
+            .expect("it is called again");
+        assert_eq!(timeout(SOON, relay.call("status\n")).await.expect("an answer"), "YES\n");
+        let mut client = relay.client(OPEN).await;
+        let (mut held, _) = timeout(SOON, session(&server)).await.expect("a session");
+        say(&mut held, "UP r1\r\n").await;
+        assert_eq!(line(&mut client).await, "UP r1\r\n");
+    });
+}
+
+/// A relay is ready whatever discovery does: refuses, says nothing, or drips.
+#[test]
+fn a_relay_is_ready_at_once_though_discovery_is_not() {
+    case(async {
+        let (_silent, silent_at) = listen().await;
+        for discovery in ["127.0.0.1:1".parse().expect("an address"), silent_at] {
+            let (_server, at) = listen().await;
+            let relay = Relay::with_discovery(&[("s-1", at, "active")], 256, discovery).await;
+            let mut front = relay.client("PING\r\n").await;
+            let pong = timeout(Duration::from_secs(1), line(&mut front)).await;
+            assert_eq!(pong.expect("an answer at once"), "PONG\r\n");
+        }
+    });
+}
