Blind balancers in a jam: throttle by own losses, fill cold servers first; stale lists are asked past

Cause, from a trace of all 291 relays: (1) three in ten relays heard of the release 8 to 14 s late, as their first watch (up to 16.6 s) had fallen silent, and went on to card servers that were gone; (2) 52 new card servers got 154 and 441 placements in 5 s while 87 old ones got 5,275 and dropped 2,351 sessions, which came again: a jam that feeds itself.

- listing: two refusals by listed card servers within 2 s give a watch up as silent (Caller::refused_by_listed).
- blind.rs, Throttle: as many asks are turned away unsent as were lost of late, whole groups, the cheapest class for its load first; while a tenth is lost, an open slot on a cold server is taken whatever the group.
Only where no reports come.
- cold.rs: slots on cold servers in a file of their own, derived from the settings: the multiple times 2/3 (was 2.0 for every deployment), a lapse after the time until a fall (was 4 s).

--- a/crates/decisions/src/blind.rs
+++ b/crates/decisions/src/blind.rs
@@ -6,7 +6,7 @@
 //! own ones. Few own connections leave the mean, many give the sample's word. Failures tell more: a server that turns newcomers
 //! away is full, one that drops open connections has more work than it can do. No I/O, no clock.
 
-use crate::interface::{ReportSource, Settings};
+use crate::interface::{Micros, ReportSource, Settings};
 
 /// The shape k: loads that differ by 40% of their mean.
 const SHAPE: f64 = 6.0;
@@ -35,6 +35,50 @@
     mean * (SHAPE + own as f64) / (SHAPE + expected.max(0.0))
 }
 
+/// Asks and losses are forgotten by 1/e over this.
+const MEMORY: f64 = 6e6;
+/// So many losses say nothing: servers end and restart one by one.
+const CHANCE: f64 = 1.0;
+/// Part of the own asks of late whose loss shows a jam.
+const PRESSED: f64 = 0.1;
+
+/// Adaptive throttling: how many of the own asks of late were lost, where no report tells that the fleet has no room.
+///
+/// A jammed server drops connections, which come again and jam the next one; that feeds itself. So as many asks are turned away
+/// unsent as were lost of late, by group: groups are kept or turned away whole, and the servers that hold one pay its
+/// cost for more of its connections.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Throttle {
+    asked: f64,
+    lost: f64,
+    at: Micros,
+}
+
+impl Throttle {
+    fn fade(&mut self, now: Micros) {
+        let left = (-(now.saturating_sub(self.at) as f64) / MEMORY).exp();
+        *self = Throttle { asked: self.asked * left, lost: self.lost * left, at: now };
+    }
+
+    /// A connection was dropped, or an attempt turned away, for want of room.
+    pub fn lost(&mut self, now: Micros) {
+        self.fade(now);
+        self.lost += 1.0;
+    }
+
+    /// Whether many of the own asks of late were lost: those that hold the connections are jammed, whatever is believed of them.
+    pub fn pressed(&self) -> bool {
+        self.lost - CHANCE > PRESSED * self.asked
+    }
+
+    /// Takes an ask; true if it is to be turned away. The draw is uniform on 0 to 1, the same for all asks of a group.
+    pub fn turns_away(&mut self, now: Micros, draw: f64) -> bool {
+        self.fade(now);
+        self.asked += 1.0;
+        draw < (self.lost - CHANCE) / (self.asked + 1.0)
+    }
+}
+
 /// The least load of a server that has just dropped a connection, or else turned one away.
 pub fn after_failure(dropped: bool) -> f64 {
     if dropped { DROPS } else { TURNS_AWAY }
--- /dev/null
+++ b/crates/decisions/src/cold.rs
@@ -0,0 +1,68 @@
+//! What one balancer of many may send to a server that is still cold: *slots*, opened at a pace from a random phase.
+//!
+//! The rule: a server that starts bears, in the settings' time `fall`, no more than N = multiple x present capacity x `fall`. Its
+//! present capacity is [`warmth`] of the pace that fills it over its warm-up, `holds / cold`, as servers take new connections no
+//! faster than that. All R balancers together open slots at [`PART`] of the multiple times that pace, each 1/R of it from a phase
+//! of its own, uniform on 0 to 1. So the slots that open in a time `t` are a sum of R independent draws whose mean is exactly
+//! PART x N x t / `fall` whatever R is, and whose variance is at most that mean: parts below one are drawn and never rounded up. A
+//! slot that is not used lapses after `fall`: what can come in `fall` after a lull is what opens in twice that time, 4/3 N in the
+//! mean. No I/O, no clock.
+
+use crate::interface::{Micros, Rules};
+
+/// All balancers together send this part of what the rule bears: the rest is for what they cannot know, the size of a connection and
+/// the true pace of warming up.
+pub const PART: f64 = 2.0 / 3.0;
+/// The part of its capacity that a server which started then surely has by now.
+pub fn warmth(rules: &Rules, started: Micros, now: Micros) -> f64 {
+    let age = now.saturating_sub(started);
+    if started == 0 || age >= rules.cold {
+        return 1.0;
+    }
+    let start = rules.start_capacity.max(0.01);
+    start + (1.0 - start) * age as f64 / rules.cold as f64
+}
+
+/// One balancer's part of the pace at which a server is filled while it is cold, in connections a microsecond at full warmth. A
+/// warm one holds so many connections.
+pub fn rate(rules: &Rules, holds: f64, balancers: f64) -> f64 {
+    PART * rules.overload_factor * holds / rules.cold.max(1) as f64 / balancers
+}
+
+/// One balancer's slots on one server.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Slots {
+    phase: f64,
+    used: u64,
+}
+
+impl Slots {
+    /// Slots from a phase, which is to be drawn from 0 to 1.
+    pub fn new(phase: f64) -> Slots {
+        Slots { phase, used: 0 }
+    }
+
+    /// How many have opened by now.
+    fn opened(&self, rules: &Rules, started: Micros, now: Micros, rate: f64) -> f64 {
+        let age = now.saturating_sub(started) as f64;
+        let start = rules.start_capacity;
+        let grown = (1.0 - start) * age / (2.0 * rules.cold.max(1) as f64);
+        self.phase + rate * age * (start + grown)
+    }
+
+    /// Whether one is open now; on a warm server always.
+    pub fn open(&self, rules: &Rules, started: Micros, now: Micros, rate: f64) -> bool {
+        let warmth = warmth(rules, started, now);
+        if warmth >= 1.0 {
+            return true;
+        }
+        let opened = self.opened(rules, started, now, rate);
+        let since = opened.fract() / (rate * warmth).max(1e-12);
+        opened as u64 > self.used && since < rules.fall as f64
+    }
+
+    /// Uses the one that is open, and those that have lapsed.
+    pub fn take(&mut self, rules: &Rules, started: Micros, now: Micros, rate: f64) {
+        self.used = self.used.max(self.opened(rules, started, now, rate) as u64);
+    }
+}
--- a/crates/decisions/src/decide.rs
+++ b/crates/decisions/src/decide.rs
@@ -13,7 +13,7 @@
 //! - A returning client leans to its remembered server. A draining server leaves the table; its connections
 //!   are flagged and moved a few at a time (`plan_moves`, `pace_moves`). A moved client lands on a random
 //!   ready server.
-//! - Cold servers get no more than this balancer's share of what they can bear (`cold_slot_open`); silent
+//! - Cold servers get no more than this balancer's share of what they can bear (`cold`); silent
 //!   and jammed ones lose their connections at a pace, unless the trouble is everywhere (`judge`).
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -23,7 +23,8 @@
 use rand_pcg::Pcg64Mcg;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::blind::{self, is_blind};
+use crate::blind::{self, Throttle, is_blind};
+use crate::cold::{self, Slots};
 use crate::health::Health;
 use crate::interface::*;
 
@@ -103,17 +104,14 @@
 const DRAIN_CAUTION: u64 = 10;
 /// Part of the expected drain in which the moves are made.
 const DRAIN_USE: f64 = 0.7;
-/// A slot on a cold server lapses after this, so that saved slots never make a burst.
-const COLD_SLOT: Micros = 4_000_000;
-/// Cold servers are filled at this multiple of the pace that fills them over their warm-up, times warmth.
-/// The stated overload multiple is not reckoned with: no rule's figure says what it is a multiple of.
-const COLD_MARGIN: f64 = 2.0;
 /// Longest first wait before the list is asked for, so that balancers started together do not ask together.
 const ASK_SPREAD: Micros = 2_000_000;
 /// First wait after a refused call; it doubles up to 8 times this.
 const ASK_AGAIN: Micros = 500_000;
 /// Least time worth another attempt.
 const LEAST_TRY: Micros = 30_000;
+/// Which groups are turned away first changes so often.
+const SALT_TURNS: Micros = 8_000_000;
 /// Remembered clients, at most.
 const HOMES: usize = 20_000;
 /// Log lines of one balancer, at most.
@@ -158,8 +156,7 @@
     slow_at: Option<Micros>,
     shed_after: Micros,
     moves: Option<MovePlan>,
-    cold_phase: f64,
-    cold_used: u64,
+    slots: Slots,
 }
 
 /// The connections of a server that are in migration, and when the last of them should have moved.
@@ -263,6 +260,7 @@
     groups: BTreeMap<GroupKey, usize>,
     /// Own standing connections.
     standing: usize,
+    throttle: Throttle,
     /// Own placements of late, fading over the lag of reports, and when that was reckoned.
     under_way: (f64, Micros),
     fleet: Fleet,
@@ -327,6 +325,7 @@
             moved: BTreeMap::new(),
             groups: BTreeMap::new(),
             standing: 0,
+            throttle: Throttle::default(),
             under_way: (0.0, now),
             born: now,
             fleet: Fleet {
@@ -429,7 +428,7 @@
             hash: xxh3_64_with_seed(entry.server.0.as_bytes(), 0),
             entry: entry.clone(),
             standing,
-            cold_phase: self.rng.random(),
+            slots: Slots::new(self.rng.random()),
             ..Server::default()
         };
         self.servers.insert(entry.server.clone(), server);
@@ -648,6 +647,17 @@
         if spent || left <= LEAST_TRY.min(flow.request.time_left / 2) {
             return self.finish(flow, out);
         }
+        if is_blind(&self.settings) && flow.rounds == 0 {
+            let salt = group_salt(&flow.request).unwrap_or_else(|| self.rng.random());
+            let draw = 1.0 - (-race(now / SALT_TURNS, salt, 1.0)).exp();
+            // The cheaper a class for its load, the sooner.
+            let classes = self.settings.classes.len();
+            let mean = (0..classes).map(|i| self.dearness(ClassId(i))).sum::<f64>() / classes.max(1) as f64;
+            let draw = draw / (1.0 + mean - self.dearness(flow.request.class));
+            if self.throttle.turns_away(now, draw) {
+                return self.finish(flow, out);
+            }
+        }
         let home = self.home(&flow, now);
         if flow.request.mid_flow
             && flow.attempts == 0
@@ -665,7 +675,7 @@
         }
         let at_home = home.filter(|h| {
             self.servers.get(h).is_some_and(|s| {
-                self.estimate(s, now) < STICKY_LOAD && !s.slow(now) && self.cold_slot_open(s, now)
+                self.estimate(s, now) < STICKY_LOAD && !s.slow(now) && self.slot_open(s, now)
             })
         });
         if at_home.is_none() && self.wave(now) && self.wait(now, &mut flow, WAVE_WAIT, out) {
@@ -760,7 +770,7 @@
     fn no_room(&mut self, now: Micros, mut flow: Flow, out: &mut Vec<Action>) {
         let any_ready = self.servers.values().any(|s| s.ready() && !s.health.suspect());
         let open = self.servers.values().filter(|s| s.ready() && !flow.tried.contains(&s.entry.server));
-        let open = open.filter(|s| self.may_send(&flow, &s.entry, now) && self.cold_slot_open(s, now));
+        let open = open.filter(|s| self.may_send(&flow, &s.entry, now) && self.slot_open(s, now));
         let open = open.map(|s| (self.estimate(s, now), s.entry.server.clone()));
         let (best, blind) = (open.min_by(|a, b| a.0.total_cmp(&b.0)), is_blind(&self.settings));
         match best {
@@ -797,11 +807,11 @@
 
     fn send(&mut self, now: Micros, mut flow: Flow, id: ServerId, out: &mut Vec<Action>) {
         let units = self.units(&flow);
-        let slot = self.servers.get(&id).map_or(0, |s| self.cold_allowance(s, now) as u64);
+        let rate = self.servers.get(&id).map_or(0.0, |s| self.slot_rate(s));
         let told = !is_blind(&self.settings);
         if let Some(server) = self.servers.get_mut(&id) {
             server.recent.extend(told.then_some((now, units)));
-            server.cold_used = server.cold_used.max(slot);
+            server.slots.take(&self.settings.rules, server.entry.started, now, rate);
         }
         let _ = flow.request.key.as_ref().map(|key| self.moved.remove(key));
         let aim = self.class(&flow).map_or(flow.request.time_left, |c| c.aim).max(LEAST_TRY);
@@ -866,6 +876,7 @@
         let blind = is_blind(&self.settings);
         if let Some(server) = self.servers.get_mut(&at).filter(|_| dropped || outcome == Outcome::Full) {
             let least = if blind { blind::after_failure(dropped) } else { FULL };
+            self.throttle.lost(now);
             server.load = Some((server.load.map_or(least, |(load, _)| load.max(least)), now));
         }
         match outcome {
@@ -953,7 +964,8 @@
         // An open slot on a cold server is taken first if that is of the group's, and else before refusing:
         // it lapses, and the server must fill.
         let cold = lanes.iter().find(|l| l.warmth < 1.0 && l.load < spill);
-        let cold = cold.filter(|c| set.is_empty() || set.iter().any(|l| std::ptr::eq(*l, *c)));
+        let pressed = is_blind(&self.settings) && self.throttle.pressed();
+        let cold = cold.filter(|c| pressed || set.is_empty() || set.iter().any(|l| std::ptr::eq(*l, *c)));
         let rest = set.iter().copied().filter(|l| cold.is_none_or(|c| !std::ptr::eq(*l, c)));
         cold.into_iter().chain(rest).take(SAMPLE * 2).map(|l| l.id.clone()).collect()
     }
@@ -990,7 +1002,7 @@
 
     /// A server's weight before its load counts: capacity, less where it is doubtful.
     fn weight(&self, server: &Server, now: Micros) -> f64 {
-        if !server.ready() || server.health.suspect() || !self.cold_slot_open(server, now) {
+        if !server.ready() || server.health.suspect() || !self.slot_open(server, now) {
             return 0.0;
         }
         // A probe that is not answered when it should be is a bad sign already.
@@ -1039,40 +1051,17 @@
         }
     }
 
-    /// The part of its capacity that a server surely has by now.
     fn warmth(&self, server: &Server, now: Micros) -> f64 {
-        let rules = &self.settings.rules;
-        let age = now.saturating_sub(server.entry.started);
-        if server.entry.started == 0 || age >= rules.cold {
-            return 1.0;
-        }
-        let start = rules.start_capacity.max(0.01);
-        start + (1.0 - start) * age as f64 / rules.cold as f64
+        cold::warmth(&self.settings.rules, server.entry.started, now)
     }
 
-    /// This balancer's share of the pace at which a cold server is filled, before its warmth counts.
-    fn cold_rate(&self, server: &Server) -> f64 {
-        let holds = server.size() / self.fleet.unit.max(1e-6);
-        COLD_MARGIN * holds / self.settings.rules.cold.max(1) as f64 / self.balancers()
-    }
-
-    /// How many connections this balancer may have sent to a cold server by now, from a random phase.
-    fn cold_allowance(&self, server: &Server, now: Micros) -> f64 {
-        let age = now.saturating_sub(server.entry.started) as f64;
-        let start = self.settings.rules.start_capacity;
-        let grown = (1.0 - start) * age / (2.0 * self.settings.rules.cold.max(1) as f64);
-        server.cold_phase + self.cold_rate(server) * age * (start + grown)
+    fn slot_rate(&self, server: &Server) -> f64 {
+        cold::rate(&self.settings.rules, server.size() / self.fleet.unit.max(1e-6), self.balancers())
     }
 
     /// Whether a cold server can have a connection of this balancer now; a warm one always can.
-    fn cold_slot_open(&self, server: &Server, now: Micros) -> bool {
-        let warmth = self.warmth(server, now);
-        if warmth >= 1.0 {
-            return true;
-        }
-        let allowance = self.cold_allowance(server, now);
-        let since_slot = allowance.fract() / (self.cold_rate(server) * warmth).max(1e-12);
-        allowance as u64 > server.cold_used && since_slot < COLD_SLOT as f64
+    fn slot_open(&self, server: &Server, now: Micros) -> bool {
+        server.slots.open(&self.settings.rules, server.entry.started, now, self.slot_rate(server))
     }
 
     // ---- Health ------------------------------------------------------------------------------------------
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -6,6 +6,7 @@
 //! virtual clock can drive it alike, and the same events give the same actions.
 
 pub mod blind;
+pub mod cold;
 pub mod decide;
 pub mod health;
 pub mod interface;
--- a/crates/decisions/tests/blind.rs
+++ b/crates/decisions/tests/blind.rs
@@ -140,3 +140,91 @@
     // In 5 of 20 s, from a fifth of its capacity on: some six of the fifty that it is taken to hold, and no more than twice that.
     assert!((60..=260).contains(&sent), "{sent} in 20 days, 120 wanted");
 }
+
+/// A fleet of so many servers that one balancer's losses tell it of a few of them only.
+fn large_fleet(settings: Settings, seed: u64) -> Bench {
+    let names: Vec<String> = (0..200).map(|n| format!("s{n}:1")).collect();
+    let listed: Vec<_> = names.iter().map(|name| (&**name, None)).collect();
+    Bench::new(settings, seed, &listed)
+}
+
+/// Requests of many groups, each of which stands for a moment and is dropped; how many were turned away unsent.
+fn jam(bench: &mut Bench, ids: std::ops::Range<u32>, class: impl Fn(u32) -> ClassId) -> Vec<u32> {
+    let mut turned_away = Vec::new();
+    for id in ids {
+        let name = format!("g{}", id % 40);
+        bench.feed(Event::Request(Request { group: group(&name), class: class(id), ..request(id) }));
+        match bench.placed(id) {
+            Some(server) => {
+                let elapsed = 5_000;
+                bench.feed(Event::Established { id: RequestId(id), attempt: AttemptId(0), server, elapsed });
+                bench.end(id, 0, Outcome::Reset, true);
+            }
+            None => turned_away.push(id),
+        }
+        bench.pass(50_000);
+    }
+    turned_away
+}
+
+/// Guards against a jam that feeds itself: what is dropped comes again and jams the next server.
+#[test]
+fn as_much_is_turned_away_as_was_lost_and_no_more_once_nothing_is() {
+    let mut bench = large_fleet(told_nothing(100), 8);
+    let away = jam(&mut bench, 0..200, |_| ClassId(0));
+    assert!(away.len() > 60, "{} of 200 turned away while all else is lost", away.len());
+    assert!(away.len() < 180, "some are let through to see if it is over");
+    // Whole groups: what one member is told, the next is told too.
+    let same = (0..40).filter(|n| {
+        let mut placed = |id: u32| {
+            bench.feed(Event::Request(Request { group: group(&format!("h{n}")), ..request(id) }));
+            bench.placed(id).is_some()
+        };
+        placed(500 + 2 * n) == placed(501 + 2 * n)
+    });
+    let same = same.count();
+    assert!(same >= 36, "{same} of 40 groups are told alike");
+    bench.pass(30 * SECOND);
+    for id in 1_000..1_040 {
+        bench.feed(Event::Request(request(id)));
+        assert!(bench.placed(id).is_some(), "it is over: request {id} is placed");
+        bench.pass(50_000);
+    }
+}
+
+#[test]
+fn the_class_that_is_cheapest_for_its_load_is_turned_away_first() {
+    let mut settings = told_nothing(100);
+    let mut dear = settings.classes[0].clone();
+    dear.worth = settings.classes[0].worth * 4.0;
+    settings.classes.push(dear);
+    let mut bench = large_fleet(settings, 9);
+    let away = jam(&mut bench, 0..400, |id| ClassId((id / 40 % 2) as usize));
+    let dear = away.iter().filter(|id| *id / 40 % 2 == 1).count();
+    assert!(dear * 3 < away.len() * 2 - dear, "{dear} of {} turned away are of the dear class", away.len());
+}
+
+/// Guards against cold servers that idle beside jammed ones, as no group has need of them.
+#[test]
+fn cold_servers_are_filled_first_in_a_jam() {
+    let sent = |jammed: bool| {
+        let mut sent = 0;
+        for seed in 0..10 {
+            let mut bench = large_fleet(told_nothing(2), seed);
+            if jammed {
+                jam(&mut bench, 0..40, |_| ClassId(0));
+            }
+            let cold = ["u:1", "v:1", "w:1"];
+            bench.feed(delta(cold.map(|id| ServerEntry { started: bench.now, ..ready(id) }).into()));
+            for id in 1_000..1_060 {
+                let asked = Request { group: group(&format!("h{id}")), ..request(id) };
+                bench.feed(Event::Request(asked));
+                sent += u32::from(bench.placed(id).is_some_and(|at| cold.iter().any(|c| at == sid(c))));
+                bench.pass(50_000);
+            }
+        }
+        sent
+    };
+    let (calm, jammed) = (sent(false), sent(true));
+    assert!(jammed > calm * 2, "{jammed} in a jam, {calm} else");
+}
--- a/crates/listing/src/lib.rs
+++ b/crates/listing/src/lib.rs
@@ -91,6 +91,12 @@
 /// The longest time to come back that a service may ask for: what is left of the longest pause spreads its callers.
 const RETRY_AFTER_MOST: Micros = clock::PAUSE_MOST / 2;
 
+/// Card servers that are listed as ready and refuse connections, within [`STALE_WITHIN`], are gone, and the list did not say so ...
+const STALE_SIGNS: u32 = 2;
+const STALE_WITHIN: Micros = 2_000_000;
+/// ... if a call has been out for so long. No sooner is one given up again for such signs.
+const STALE_OUT: Micros = 1_000_000;
+const STALE_AGAIN: Micros = 5_000_000;
 /// The shortest wait of a watch at an agent beside the relay ...
 const AGENT_LEAST: Micros = 20_000;
 /// ... and the longest.
@@ -195,6 +201,10 @@
     /// When another service was last told of.
     renewed: Option<Micros>,
     answered: bool,
+    /// Refusals of listed card servers, and since when they are counted.
+    signs: (u32, Micros),
+    /// When a call was last given up for such signs.
+    given_up: Option<Micros>,
 }
 
 impl Caller {
@@ -228,6 +238,8 @@
             renewed: None,
             lateness: (many(told.relays) * LATE_EACH).min(SECOND_CALL_MOST),
             answered: false,
+            signs: (0, now),
+            given_up: None,
         }
     }
 
@@ -251,6 +263,23 @@
         }
     }
 
+    /// A card server that is listed as ready refused a connection: nobody listens there any more. True if the call that is out is to be
+    /// given up as one that fell silent. Guards against a list that is held for gone card servers, and lacks their
+    /// successors, until the patience of a long watch is over.
+    pub fn refused_by_listed(&mut self, now: Micros) -> bool {
+        if now.saturating_sub(self.signs.1) > STALE_WITHIN {
+            self.signs = (0, now);
+        }
+        self.signs.0 += 1;
+        let watches = matches!(self.out, Some((Call::Changes { .. }, since)) if now >= since + STALE_OUT);
+        let again = self.given_up.is_none_or(|at| now >= at + STALE_AGAIN);
+        let stale = watches && again && self.signs.0 >= STALE_SIGNS;
+        if stale {
+            (self.signs, self.given_up) = ((0, now), Some(now));
+        }
+        stale
+    }
+
     /// The decisions want the whole list, once.
     pub fn want_whole(&mut self) {
         self.whole = true;
--- a/src/relay/clients/attempt.rs
+++ b/src/relay/clients/attempt.rs
@@ -34,14 +34,17 @@
     let timers = relay.borrow().timers.clone();
     let wait = relay.borrow().connect_timeout();
     let dialled = tokio::select! {
-        dialled = TcpStream::connect(place.address) => dialled.ok(),
-        () = timers.nap(wait) => None,
+        dialled = TcpStream::connect(place.address) => dialled,
+        () = timers.nap(wait) => Err(io::ErrorKind::TimedOut.into()),
     };
+    if dialled.as_ref().is_err_and(|e| e.kind() == io::ErrorKind::ConnectionRefused) {
+        relay.borrow().refused_by(&place.server);
+    }
     // Guards against a connection that came up late: meanwhile the card server may have begun to drain, and the time in
     // which card servers still know the first of two attempts may have passed.
     let in_time = |now| place.send_before.is_none_or(|end| now < end);
     let may_send = || relay.borrow().may_still_send(&place.server) && in_time(timers.clock.now());
-    let Some(mut server) = dialled.filter(|_| may_send()) else {
+    let Some(mut server) = dialled.ok().filter(|_| may_send()) else {
         return Came::Ended(Outcome::ConnectFailed, None);
     };
     let _ = server.set_nodelay(true);
--- a/src/relay/clients/session.rs
+++ b/src/relay/clients/session.rs
@@ -42,6 +42,7 @@
             side.farewell(&lines::busy(0)).await;
         }
         Ok(Some(First::Asks(head))) => {
+            let head = *head;
             let Some(_open) = relay.borrow().open_id(&head) else {
                 place.answered();
                 debug!(target: "client", why = "the id of an open connection, or no known class", "turned away");
@@ -94,7 +95,7 @@
                 return Err(Malformed("more than a first line before any answer"));
             }
             if lines::bare(&line) != b"PING" {
-                return SessionHead::parse(line).map(|head| Some(First::Asks(head)));
+                return SessionHead::parse(line).map(|head| Some(First::Asks(Box::new(head))));
             }
             let answer: &[u8] = if relay.borrow().closing() { b"BUSY\r\n" } else { b"PONG\r\n" };
             if self.stream.write_all(answer).await.is_err() {
@@ -152,7 +153,7 @@
 /// What comes of a connection at the door.
 enum First {
     /// It asks for a session.
-    Asks(SessionHead),
+    Asks(Box<SessionHead>),
     /// It has said nothing for too long after a `PONG`, or the relay ends.
     Rests,
 }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -552,7 +552,7 @@
         let _ = probe.send(errand);
     }
 
-    fn ask_discovery(&mut self, ask: Ask) {
+    fn ask_discovery(&self, ask: Ask) {
         let _ = self.asks.send(ask);
     }
 
--- a/src/relay/servers/held.rs
+++ b/src/relay/servers/held.rs
@@ -8,7 +8,7 @@
 use honeyknot_listing::Trouble;
 use tracing::{info, warn};
 
-use super::roll::{Failure, RollNews};
+use super::roll::{Ask, Failure, RollNews};
 use crate::interface::*;
 use crate::relay::Relay;
 
@@ -131,6 +131,13 @@
         self.addresses.get(server).copied()
     }
 
+    /// Nobody listens at a card server. Where the list says that it is ready, the list is old.
+    pub fn refused_by(&self, server: &ServerId) {
+        if !self.leaving.contains(server) {
+            self.ask_discovery(Ask::Refused);
+        }
+    }
+
     /// Whether a head may still be written to a card server. Guards against an attempt that was placed before
     /// the news of a drain and connects after it: the news may have counted as told for a while already.
     pub fn may_still_send(&self, server: &ServerId) -> bool {
--- a/src/relay/servers/roll.rs
+++ b/src/relay/servers/roll.rs
@@ -88,6 +88,8 @@
     Fetch,
     /// Discovery is at this address from now on.
     Renew(SocketAddr),
+    /// A card server that is listed as ready refused a connection.
+    Refused,
 }
 
 /// Why a call brought nothing.
@@ -256,11 +258,25 @@
     }
 }
 
-/// Takes wishes until discovery has a new address; none once nobody can wish any more.
-async fn renewed(wants: &mut Wants, asks: &mut UnboundedReceiver<Ask>) -> Option<SocketAddr> {
+/// Why a call that is out is not waited for.
+enum Interruption {
+    /// Discovery has a new address.
+    Renewed(SocketAddr),
+    /// The list held shows to be old: the call must have fallen silent.
+    Stale,
+}
+
+/// Takes wishes until one ends the call that is out; none once nobody can wish any more.
+async fn interrupted(
+    wants: &mut Wants, asks: &mut UnboundedReceiver<Ask>, caller: &mut Caller, timers: &Timers,
+) -> Option<Interruption> {
     loop {
-        if let Some(at) = wants.note(asks.recv().await?) {
-            return Some(at);
+        let ask = asks.recv().await?;
+        if matches!(ask, Ask::Refused) && caller.refused_by_listed(timers.clock.now()) {
+            return Some(Interruption::Stale);
+        }
+        if let Some(at) = wants.note(ask) {
+            return Some(Interruption::Renewed(at));
         }
     }
 }
@@ -277,6 +293,7 @@
         match ask {
             Ask::Watch(on) => self.watch = on,
             Ask::Fetch => self.whole = true,
+            Ask::Refused => {}
             Ask::Renew(at) => {
                 self.watch = true;
                 return Some(at);
@@ -299,8 +316,8 @@
 /// Makes the calls that [`Caller`] wants until the relay ends. Calls never overlap.
 ///
 /// When to call is not the decisions' choice on sockets: the roll is followed from the start, also where the settings say that it
-/// comes unasked, as it then lies ready at an agent and counts as told there. A reload drops the call that is out and asks the new discovery for the
-/// whole roll. Guards against waiting at an address that answers no more while card servers drain unheard of; the roll held
+/// comes unasked, as it then lies ready at an agent and counts as told there. A reload drops the call that is out and asks the new
+/// discovery for the whole roll. Guards against waiting at an address that answers no more while card servers drain unheard of; the roll held
 /// stays in use meanwhile.
 pub async fn follow(
     relay: Shared, discovery: SocketAddr, mut caller: Caller, mut asks: UnboundedReceiver<Ask>,
@@ -330,7 +347,7 @@
         let path = path(call);
         let answer = tokio::select! {
             biased;
-            at = renewed(&mut wants, &mut asks) => Err(at),
+            why = interrupted(&mut wants, &mut asks, &mut caller, &timers) => Err(why),
             answer = ask_roll(&mut desk, &relay, &path, patience) => Ok(answer),
         };
         match answer {
@@ -349,7 +366,13 @@
                 relay.borrow_mut().roll_failed(&failure);
             }
             Err(None) => return,
-            Err(Some(at)) => {
+            Err(Some(Interruption::Stale)) => {
+                desk.line = None;
+                caller.failed(timers.clock.now(), Trouble::Silent);
+                let why = "listed card servers are gone and no news came";
+                relay.borrow_mut().roll_failed(&Failure::new(Trouble::Silent, why));
+            }
+            Err(Some(Interruption::Renewed(at))) => {
                 desk.go_to(at);
                 caller.renew(timers.clock.now());
             }
