--- a/crates/listing/tests/caller.rs
+++ b/crates/listing/tests/caller.rs
@@ -105,6 +105,28 @@
     assert!(crowd.iter().any(|wait| *wait > 4.6) && crowd.iter().all(|wait| *wait <= 24.0));
 }
 
+/// Card servers that refuse connections show that the list is old, and the watch that should have said so silent; one alone may
+/// have crashed just now.
+#[test]
+fn refusals_by_listed_card_servers_have_a_long_watch_given_up_now_and_then() {
+    for relays in [1, 4, 300] {
+        let mut caller = Caller::new(told(relays, 2), &roll(7, true, &["s-1", "s-2"]), 0);
+        assert!(!caller.refused_by_listed(0) && !caller.refused_by_listed(0), "no call is out");
+        caller.call(10 * S);
+        assert!(!caller.refused_by_listed(10 * S + S / 2), "one sign");
+        assert!(!caller.refused_by_listed(10 * S + S / 2), "out for too short");
+        assert!(!caller.refused_by_listed(14 * S), "signs are forgotten");
+        assert!(caller.refused_by_listed(15 * S));
+        caller.failed(15 * S, Trouble::Silent);
+        let due = caller.due().expect("a call");
+        assert!(due <= 15 * S + 200_000, "asked again at once");
+        caller.call(due);
+        assert!((0..20).all(|n| !caller.refused_by_listed(due + n * S / 5)), "not again so soon");
+        let later = due + 6 * S;
+        assert!(!caller.refused_by_listed(later) && caller.refused_by_listed(later));
+    }
+}
+
 #[test]
 fn who_was_kept_waiting_stays_away_before_calls_fail() {
     let mut caller = Caller::new(told(300, 1), &Roll::default(), 0);
--- a/tests/rare_moments.rs
+++ b/tests/rare_moments.rs
@@ -284,3 +284,21 @@
         }
     });
 }
+
+/// A watch has fallen silent, and the card servers that it should have told of are gone.
+#[test]
+fn card_servers_that_refuse_connections_have_a_silent_watch_opened_anew() {
+    case(async {
+        let (discovery, discovery_at) = listen().await;
+        let (one, two) = (listen().await, listen().await);
+        let config = config_value(&[("s-1", one.1, "active"), ("s-2", two.1, "active")], 256, discovery_at);
+        drop((one, two));
+        let relay = Relay::of(patient(config, &[])).await;
+        let silent = call(&discovery, "GET /registry/instances?index=1&").await;
+        // A watch that is younger than this may still be about to answer.
+        tokio::time::sleep(Duration::from_millis(1_100)).await;
+        assert!(rest(relay.client(OPEN).await).await.starts_with("BUSY"));
+        timeout(SOON, call(&discovery, "GET /registry/instances?index=1&")).await.expect("it is opened anew");
+        assert_eq!(rest(silent).await, "", "and the silent one is left");
+    });
+}
