--- a/crates/decisions/src/blind.rs
+++ b/crates/decisions/src/blind.rs
@@ -83,19 +83,3 @@
 pub fn after_failure(dropped: bool) -> f64 {
     if dropped { DROPS } else { TURNS_AWAY }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn few_own_connections_leave_the_mean_and_many_tell() {
-        assert_eq!(guess(0.5, 0, 0.0), 0.5);
-        let one_of_few = guess(0.5, 1, 0.05);
-        assert!(one_of_few < 0.6, "one connection of a thousand: {one_of_few}");
-        let crowded = guess(0.5, 60, 20.0);
-        assert!(crowded > 1.2, "three times its share of many: {crowded}");
-        let idle = guess(0.5, 0, 20.0);
-        assert!(idle < 0.15, "none of many: {idle}");
-    }
-}
--- a/crates/decisions/tests/blind.rs
+++ b/crates/decisions/tests/blind.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::*;
+use honeyknot_decisions::blind::guess;
 use honeyknot_decisions::interface::*;
 
 /// Settings of a deployment with no reports and no probes; times and costs are another's than the usual ones.
@@ -228,3 +229,14 @@
     let (calm, jammed) = (sent(false), sent(true));
     assert!(jammed > calm * 2, "{jammed} in a jam, {calm} else");
 }
+
+#[test]
+fn few_own_connections_leave_the_mean_and_many_tell() {
+    assert_eq!(guess(0.5, 0, 0.0), 0.5);
+    let one_of_few = guess(0.5, 1, 0.05);
+    assert!(one_of_few < 0.6, "one connection of a thousand: {one_of_few}");
+    let crowded = guess(0.5, 60, 20.0);
+    assert!(crowded > 1.2, "three times its share of many: {crowded}");
+    let idle = guess(0.5, 0, 20.0);
+    assert!(idle < 0.15, "none of many: {idle}");
+}
