--- a/tests/rare_moments.rs
+++ b/tests/rare_moments.rs
@@ -67,41 +67,32 @@
     });
 }
 
-/// A connection comes up in the same moment in which its client leaves.
-#[test]
-fn a_client_that_left_while_its_connection_came_up_is_not_sent_on() {
-    case(async {
-        let mut late = Late::new();
-        let config =
-            config_value(&[("s-1", late.at, "active")], 256, "127.0.0.1:1".parse().expect("an address"));
-        let relay = Relay::of(patient(config, &[])).await;
-        let client = relay.client(OPEN).await;
-        late.dialled().await;
-        // The relay shares this thread: it sees both only when both have happened.
-        late.let_in();
-        drop(client.into_inner().into_std().expect("a plain socket"));
-        std::thread::sleep(Duration::from_millis(1_500));
-        let got = timeout(SOON, late.next()).await.expect("the dial comes up");
-        assert_eq!(got, "", "nothing for a client that has gone");
-    });
+const RETURNING: &str = "OPEN 9b1f 7f3a c=study,d=40000,at=s-1\r\n";
+
+/// A relay without discovery, and its one card server, whose connections come up late.
+async fn with_late_server() -> (Relay, Late) {
+    let late = Late::new();
+    let nowhere = "127.0.0.1:1".parse().expect("an address");
+    let relay = Relay::of(patient(config_value(&[("s-1", late.at, "active")], 256, nowhere), &[])).await;
+    (relay, late)
 }
 
-/// The same, for a session from before the run.
+/// A connection comes up in the same moment in which its client leaves: a newcomer, and a session from before the run.
 #[test]
-fn a_returning_client_that_left_while_its_connection_came_up_is_not_sent_on() {
-    case(async {
-        let mut late = Late::new();
-        let config =
-            config_value(&[("s-1", late.at, "active")], 256, "127.0.0.1:1".parse().expect("an address"));
-        let relay = Relay::of(patient(config, &[])).await;
-        let client = relay.client("OPEN 9b1f 7f3a c=study,d=40000,at=s-1\r\n").await;
-        late.dialled().await;
-        late.let_in();
-        drop(client.into_inner().into_std().expect("a plain socket"));
-        std::thread::sleep(Duration::from_millis(1_500));
-        let got = timeout(SOON, late.next()).await.expect("the dial comes up");
-        assert_eq!(got, "", "nothing for a client that has gone");
-    });
+fn a_client_that_left_while_its_connection_came_up_is_not_sent_on() {
+    for first in [OPEN, RETURNING] {
+        case(async {
+            let (relay, mut late) = with_late_server().await;
+            let client = relay.client(first).await;
+            late.dialled().await;
+            // The relay shares this thread: it sees both only when both have happened.
+            late.let_in();
+            drop(client.into_inner().into_std().expect("a plain socket"));
+            std::thread::sleep(Duration::from_millis(1_500));
+            let got = timeout(SOON, late.next()).await.expect("the dial comes up");
+            assert_eq!(got, "", "nothing for a client that has gone: {first}");
+        });
+    }
 }
 
 /// A returning client that waits for its card server and says more than is kept is answered, and its end is seen.
@@ -120,11 +111,8 @@
 #[test]
 fn a_returning_session_is_not_sent_to_a_card_server_that_was_taken_out_meanwhile() {
     case(async {
-        let mut late = Late::new();
-        let config =
-            config_value(&[("s-1", late.at, "active")], 256, "127.0.0.1:1".parse().expect("an address"));
-        let relay = Relay::of(patient(config, &[])).await;
-        let _client = relay.client("OPEN 9b1f 7f3a c=study,d=40000,at=s-1\r\n").await;
+        let (relay, mut late) = with_late_server().await;
+        let _client = relay.client(RETURNING).await;
         late.dialled().await;
         assert_eq!(relay.call("maint-on s-1\n").await, "YES\n");
         late.let_in();
