--- a/crates/decisions/src/decide.rs
+++ b/crates/decisions/src/decide.rs
@@ -685,8 +685,8 @@
         self.no_room(now, flow, out);
     }
 
-    /// Whether this request is turned away for what was lost of late: groups whole, and the cheaper a class for
-    /// its load, the sooner.
+    /// Whether this request is turned away for what was lost of late: groups whole, and the cheaper a class
+    /// for its load, the sooner.
     fn throttled(&mut self, flow: &Flow, now: Micros) -> bool {
         let salt = group_salt(&flow.request).unwrap_or_else(|| self.rng.random());
         let classes = self.settings.classes.len();
