--- a/crates/decisions/tests/blind.rs
+++ b/crates/decisions/tests/blind.rs
@@ -193,6 +193,21 @@
     }
 }
 
+/// Guards against a connection that is cut off in a jam: its server has it still, and only this balancer has lost sight of it.
+#[test]
+fn a_connection_in_mid_flow_goes_back_to_its_server_however_much_is_turned_away() {
+    let mut bench = large_fleet(told_nothing(100), 8);
+    // Their server is seen by one request each, before the jam.
+    let at: Vec<ServerId> = (2_000..2_040).map(|id| bench.connect(request(id))).collect();
+    let away = jam(&mut bench, 0..200, |_| ClassId(0));
+    assert!(away.len() > 60, "{} of 200 turned away while all else is lost", away.len());
+    for (id, server) in (2_000..2_040).zip(at) {
+        let again = Request { id: RequestId(id + 1_000), mid_flow: true, returning: true, ..request(id) };
+        bench.feed(Event::Request(again));
+        assert_eq!(bench.placed(id + 1_000), Some(server), "request {id}");
+    }
+}
+
 #[test]
 fn the_class_that_is_cheapest_for_its_load_is_turned_away_first() {
     let mut settings = told_nothing(100);
