A time in the settings beyond a year is refused at the start by name, and no longer overflows

All times are read by one call now, which allows a year and names the setting with its place (`services[0].aimUs`), the value and the limit. Ruled out: saturating sums here and there, as every sum of times would need them.

--- a/src/wire.rs
+++ b/src/wire.rs
@@ -471,17 +471,31 @@
     Ok(digits.chunks(2).map(|pair| (pair[0] * 16 + pair[1]) as u8).collect())
 }
 
-/// Settings by path; an absent key takes its default, an unknown one is skipped, a wrong type is a fault.
-struct Keys<'a>(&'a Value);
+/// The longest time that a setting may tell: a year. Guards against sums of times that no longer fit.
+const LONGEST: Micros = 365 * 86_400 * 1_000_000;
+
+/// Settings by path, below a place of the whole; an absent key takes its default, an unknown one is skipped, a wrong type is a fault.
+struct Keys<'a> {
+    value: &'a Value,
+    below: String,
+}
 
 impl<'a> Keys<'a> {
     fn get(&self, path: &str) -> Option<&'a Value> {
-        path.split('.').try_fold(self.0, |v, k| v.get(k)).filter(|v| !v.is_null())
+        path.split('.').try_fold(self.value, |v, k| v.get(k)).filter(|v| !v.is_null())
     }
 
     fn read<T>(&self, path: &str, default: T, convert: impl Fn(&'a Value) -> Option<T>) -> Parsed<T> {
-        self.get(path)
-            .map_or(Ok(default), |v| convert(v).ok_or_else(|| format!("setting `{path}` has a wrong type")))
+        let wrong = || format!("setting `{}{path}` has a wrong type", self.below);
+        self.get(path).map_or(Ok(default), |v| convert(v).ok_or_else(wrong))
+    }
+
+    /// A time in microseconds.
+    fn time(&self, path: &str, default: Micros) -> Parsed<Micros> {
+        let time = self.u64(path, default)?;
+        let told =
+            || format!("setting `{}{path}` is {time}; at most a year, {LONGEST} us, is allowed", self.below);
+        (time <= LONGEST).then_some(time).ok_or_else(told)
     }
 
     fn flag(&self, path: &str, default: bool) -> Parsed<bool> {
@@ -509,7 +523,11 @@
     fn names(&self, path: &str) -> Parsed<Vec<String>> {
         self.array(path)?
             .iter()
-            .map(|v| v.as_str().map(str::to_owned).ok_or_else(|| format!("setting `{path}` holds no names")))
+            .map(|v| {
+                v.as_str()
+                    .map(str::to_owned)
+                    .ok_or_else(|| format!("setting `{}{path}` holds no names", self.below))
+            })
             .collect()
     }
 
@@ -520,16 +538,16 @@
     }
 }
 
-fn class(value: &Value, message_aim: Micros) -> Parsed<Class> {
-    let s = Keys(value);
+fn class(place: usize, value: &Value, message_aim: Micros) -> Parsed<Class> {
+    let s = Keys { value, below: format!("services[{place}].") };
     let scope = s.choice("group", &[("all", Scope::All), ("zone", Scope::Zone), ("cell", Scope::Cell)])?;
-    let keyed = Effect::Deduplicated { scope, window: s.u64("keyTtlUs", 0)? };
+    let keyed = Effect::Deduplicated { scope, window: s.time("keyTtlUs", 0)? };
     // A word not known is taken for the strictest.
     let effects =
         [("at_most_once", Effect::AtMostOnce), ("idempotent", Effect::Idempotent), ("deduplicated", keyed)];
-    let deadline = s.u64("hardLimitUs", 0)?;
+    let deadline = s.time("hardLimitUs", 0)?;
     Ok(Class {
-        aim: s.u64("aimUs", deadline)?,
+        aim: s.time("aimUs", deadline)?,
         aim_stretch: s.f64("aimStretch", 0.0)?,
         deadline,
         effect: s.choice("effect", &effects)?,
@@ -540,8 +558,8 @@
     })
 }
 
-fn tenant(value: &Value, quota_connections: f64) -> Parsed<Tenant> {
-    let s = Keys(value);
+fn tenant(place: usize, value: &Value, quota_connections: f64) -> Parsed<Tenant> {
+    let s = Keys { value, below: format!("tenants[{place}].") };
     Ok(Tenant {
         quota_per_s: s.f64("quotaPerS", f64::INFINITY)?,
         quota_connections,
@@ -554,7 +572,7 @@
     if !value.is_object() {
         return Err("settings are an object".into());
     }
-    let s = Keys(value);
+    let s = Keys { value, below: String::new() };
     let label = |v: &Value| v.get("name").and_then(Value::as_str).unwrap_or_default().to_owned();
     let number = |list: &[Value], i: usize| list.get(i).and_then(Value::as_f64);
     let (services, tenants) = (s.array("services")?, s.array("tenants")?);
@@ -573,12 +591,12 @@
         classes: services
             .iter()
             .enumerate()
-            .map(|(i, v)| class(v, number(aims, i).unwrap_or(0.0) as Micros))
+            .map(|(i, v)| class(i, v, number(aims, i).unwrap_or(0.0) as Micros))
             .collect::<Parsed<_>>()?,
         tenants: tenants
             .iter()
             .enumerate()
-            .map(|(i, v)| tenant(v, number(quotas, i).unwrap_or(f64::INFINITY)))
+            .map(|(i, v)| tenant(i, v, number(quotas, i).unwrap_or(f64::INFINITY)))
             .collect::<Parsed<_>>()?,
         over_share_worth: s.f64("overShareWorth", 1.0)?,
         worth_by_work: s.str("worthBy")? == "work",
@@ -603,11 +621,11 @@
             ],
         )?,
         mode: s.choice("familyInfo.mode", &[("proxy", ForwardMode::Proxy), ("pass", ForwardMode::Pass)])?,
-        park: s.u64("familyInfo.parkUs", 0)?,
+        park: s.time("familyInfo.parkUs", 0)?,
         groups: s.flag("familyInfo.groups", false)?,
         tells_load: s.flag("familyInfo.tellsLoad", false)?,
         tells_delay: s.flag("familyInfo.tellsDelay", false)?,
-        tick: s.u64("roundUs", 1_000)?,
+        tick: s.time("roundUs", 1_000)?,
         homing: true,
         permissions: Permissions {
             cancel: s.flag("permissions.mayCancel", false)?,
@@ -617,21 +635,21 @@
             second_copies: s.flag("permissions.secondCopies", false)?,
             max_attempts: s.u64("permissions.maxAttempts", 1)?.min(u64::from(u32::MAX)) as u32,
             max_open: s.u64("permissions.maxOpen", u64::MAX)?,
-            max_retry_after: s.u64("permissions.maxRetryAfterUs", 0)?,
+            max_retry_after: s.time("permissions.maxRetryAfterUs", 0)?,
             multiplex: s.u64("permissions.multiplex", 1)?,
-            idle_close: s.u64("permissions.idleCloseUs", 0)?,
-            connect_timeout: s.u64("permissions.connectTimeoutUs", 0)?,
+            idle_close: s.time("permissions.idleCloseUs", 0)?,
+            connect_timeout: s.time("permissions.connectTimeoutUs", 0)?,
             cpu_per_request: s.f64("permissions.cpuUsPerRequest", 0.0)?,
             cpu_per_second: s.f64("permissions.cpuUsPerS", 0.0)?,
         },
         rules: Rules {
-            answer_grace: s.u64("rules.graceToAnswerUs", 0)?,
-            must_ask_in: s.u64("rules.mustAskInUs", 0)?,
+            answer_grace: s.time("rules.graceToAnswerUs", 0)?,
+            must_ask_in: s.time("rules.mustAskInUs", 0)?,
             start_capacity: s.f64("rules.startCapacity", 0.0)?,
-            cold: s.u64("rules.coldUs", 0)?,
-            drain_grace: s.u64("rules.stopSendingWithinUs", 0)?,
+            cold: s.time("rules.coldUs", 0)?,
+            drain_grace: s.time("rules.stopSendingWithinUs", 0)?,
             overload_factor: s.f64("rules.overloadFactor", 1.0)?,
-            fall: s.u64("rules.fallUs", 0)?,
+            fall: s.time("rules.fallUs", 0)?,
         },
         goal: Goal {
             whole: s.f64("resultMix.whole", 1.0)?,
