A group stays together across zones where a copy in each costs more than crossing

Cause: rank (decide.rs) slowed card servers of other zones by the price of crossing alone, whatever a copy costs; 300 relays that each see eight sessions gave every group its own card servers in every zone. Now crossing weighs what it costs more than a copy (zones.rs): three sessions over the group's members in the zone, as dear as the fleet is full. What stands with its group elsewhere is not brought home, or it would come and go for ever.

--- a/crates/decisions/src/decide.rs
+++ b/crates/decisions/src/decide.rs
@@ -7,9 +7,8 @@
 //! - A new connection goes by a randomised split that favours spare reported capacity and trusts old reports
 //!   less (`rank`, `weight`, `estimate`). The few servers that the split likes best are probed first, while
 //!   the request is held for some milliseconds (`route`).
-//! - The draw of the split is a hash of the connection's group, or else its client, with the server: a race
-//!   in which each server's weight is its speed. It splits as a random draw would, yet balancers agree
-//!   without a word where a group goes, and where a connection is that reaches them in mid flow.
+//! - The draw of the split is weighted rendezvous hashing of the connection's group, or else its client: all
+//!   agree without a word where a group goes, and where a connection is that reaches them in mid flow.
 //! - A returning client leans to its remembered server. A draining server leaves the table; its connections
 //!   are flagged and moved a few at a time (`plan_moves`, `pace_moves`). A moved client lands on a random
 //!   ready server.
@@ -27,6 +26,8 @@
 use crate::cold::{self, Slots};
 use crate::health::Health;
 use crate::interface::*;
+use crate::rendezvous::{draw, race};
+use crate::zones;
 
 /// Housekeeping interval: fine enough to pace moves within a drain of a few seconds.
 const TICK: Micros = 200_000;
@@ -50,8 +51,7 @@
 /// Servers for a group at the least, as one alone would take all of a wave that no report shows yet; but one
 /// where balancers outnumber servers: each sees too little of a group to split it, and every split costs.
 const GROUP_SET: usize = 2;
-/// What a connection asked for adds to the own ones of its group: one seen makes the group look larger than
-/// it is at a balancer that sees few.
+/// What a connection asked for adds to its group's own: one makes a group look large to who sees few.
 const GROUP_FIRST: f64 = 0.3;
 /// Own connections by which the share of a group is doubted while there are few.
 const GROUP_DOUBT: f64 = 8.0;
@@ -69,8 +69,6 @@
 const FULL_DEAREST: f64 = 0.78;
 /// A returning client goes back to its server up to this load.
 const STICKY_LOAD: f64 = 0.75;
-/// How strongly the price of crossing zones weighs against a distant server.
-const CROSS_WEIGHT: f64 = 100.0;
 /// How far own placements stand for those that the other balancers made unseen.
 const PEER_SHARE: f64 = 0.3;
 /// ... up to this: of many balancers, one placement of the own tells next to nothing.
@@ -91,8 +89,7 @@
 const SLOW: Micros = 2_500_000;
 /// Part of the connections that a server sheds of which only slow messages tell.
 const SHED_BLIND: f64 = 0.15;
-/// A stray is brought home while a server there has less load than this: well below the load at which
-/// newcomers spill over to other zones, or it would soon cross again ...
+/// A stray is brought home while a server there has less load than this: near a spill it crosses again ...
 const HOME_LOAD: f64 = 0.55;
 /// ... and has stood for this long, so that reports show what came before it.
 const STRAY_STAYS: Micros = 2_000_000;
@@ -274,18 +271,6 @@
     log_left: u32,
 }
 
-/// A uniform draw from 0 to 1 that everyone who holds the same two numbers sees alike.
-fn draw(salt: u64, of: u64) -> f64 {
-    let hash = xxh3_64_with_seed(&salt.to_le_bytes(), of);
-    ((hash >> 11) as f64 + 0.5) / (1u64 << 53) as f64
-}
-
-/// When a server crosses the line in a race that its weight sets the speed of: the first is drawn in
-/// proportion to the weights, and everyone who holds the same salt sees the same race.
-fn race(salt: u64, server: u64, weight: f64) -> f64 {
-    -draw(salt, server).ln() / weight
-}
-
 /// What seeds the race of the request's group.
 fn group_salt(request: &Request) -> Option<u64> {
     request.group.as_ref().map(|group| xxh3_64_with_seed(group.0.as_bytes(), 2))
@@ -531,18 +516,21 @@
     /// server of the own zone has room by a fresh report; the oldest first, as those have shown to last.
     /// Guards against what was placed before the start, or by need, costing by the second to its end.
     fn bring_home(&mut self, now: Micros, out: &mut Vec<Action>) {
-        if self.rng.random::<f64>() * self.balancers() >= HOMERS {
+        // Without probes hardly a report is ever fresh, and none may be asked for.
+        if !self.settings.permissions.probes || self.rng.random::<f64>() * self.balancers() >= HOMERS {
             return;
         }
-        let near = self.servers.values().filter(|s| self.far(s) == 1.0 && !s.slow(now));
+        let near = self.servers.values().filter(|s| self.near(s) && !s.slow(now));
         let near = near.filter(|s| self.weight(s, now) > 0.0).map(|s| (self.estimate(s, now), s));
         let Some((load, near)) = near.min_by(|a, b| a.0.total_cmp(&b.0)) else { return };
         let near = near.entry.server.clone();
         let stood = self.flows.iter().rev().filter(|(_, f)| f.standing && now >= f.sent_at + STRAY_STAYS);
         let stood = stood.filter_map(|(id, f)| Some((*id, f, self.servers.get(f.out.as_ref()?)?)));
-        let away = |s: &Server| self.far(s) > 1.0;
-        let strays = stood
-            .filter(|(_, f, s)| if away(s) { self.settings.homing } else { self.stray(&f.request, s, now) });
+        let away = |f: &Flow, s: &Server| self.far(s, self.copy_cost(&f.request)) > 1.0;
+        let strays =
+            stood.filter(
+                |(_, f, s)| if away(f, s) { self.settings.homing } else { self.stray(&f.request, s, now) },
+            );
         let strays =
             strays.filter(|(_, _, s)| s.moves.is_none()).map(|(id, _, s)| (self.estimate(s, now), id, s));
         let Some((_, id, from)) = strays.max_by(|a, b| a.0.total_cmp(&b.0)) else { return };
@@ -937,14 +925,14 @@
             _ => self.rng.random(),
         };
         let spill = (self.fleet.mean_load + SPILL_ABOVE).clamp(SPILL_LEAST, SPILL_MOST);
-        let salt = group_salt(request);
+        let (salt, copy) = (group_salt(request), self.copy_cost(request));
         let mut lanes = Vec::with_capacity(self.servers.len());
         for (id, server) in &self.servers {
             let weight = self.weight(server, now);
             let open = weight > 0.0 && !flow.tried.contains(id) && moved.is_none_or(|(from, _)| from != id);
             if open && self.may_send(flow, &server.entry, now) {
                 let load = if server.slow(now) { f64::INFINITY } else { self.estimate(server, now) };
-                let (far, warmth) = (self.far(server), self.warmth(server, now));
+                let (far, warmth) = (self.far(server, copy), self.warmth(server, now));
                 let spare = weight / far * warmth * (1.0 - load).max(0.01).powi(2);
                 let wide = salt.map_or(0.0, |salt| race(salt, server.hash, weight));
                 let client = race(client, server.hash, spare);
@@ -952,8 +940,7 @@
             }
         }
         let need = self.group_set(request);
-        // Guards against a group that spills over ever more servers of a full fleet: each would pay for it,
-        // and the load that this adds would fill the fleet for good.
+        // Guards against a group that spreads over a full fleet: each server pays for it, and it stays full.
         let reach = need.saturating_add(need / 2).saturating_add(1);
         lanes.sort_unstable_by(|a, b| a.near.total_cmp(&b.near).then(a.id.cmp(b.id)));
         let mut set: Vec<&Lane> = lanes.iter().take(reach).filter(|l| l.load < spill).collect();
@@ -982,12 +969,13 @@
     fn stray(&self, request: &Request, server: &Server, now: Micros) -> bool {
         let Some(salt) = group_salt(request) else { return false };
         let place = |s: &Server| race(salt, s.hash, self.weight(s, now));
-        let (own, far, need) = (place(server), self.far(server), self.group_set(request));
+        let (copy, need) = (self.copy_cost(request), self.group_set(request));
+        let (own, far) = (place(server), self.far(server, copy));
         let (mut before_wide, mut before_near) = (0, 0);
         for other in self.servers.values().filter(|s| s.ready()) {
             let theirs = place(other);
             before_wide += usize::from(theirs < own);
-            before_near += usize::from(theirs * self.far(other) < own * far);
+            before_near += usize::from(theirs * self.far(other, copy) < own * far);
         }
         before_wide > need && before_near > need
     }
@@ -997,13 +985,17 @@
         FULL + (FULL_DEAREST - FULL) * self.dearness(flow.request.class)
     }
 
+    /// The part of all connections that a group probably has.
+    fn group_share(&self, group: &GroupKey) -> f64 {
+        let own = self.groups.get(group).copied().unwrap_or(0) as f64 + GROUP_FIRST;
+        own / (self.standing as f64 + GROUP_DOUBT)
+    }
+
     /// How many servers a group needs, going by this balancer's share of it.
     fn group_set(&self, request: &Request) -> usize {
         let Some(group) = &request.group else { return usize::MAX };
-        let own = self.groups.get(group).copied().unwrap_or(0) as f64 + GROUP_FIRST;
-        let share = own / (self.standing as f64 + GROUP_DOUBT);
         let load = self.fleet.mean_load.max(GROUP_LOAD);
-        let servers = share * self.fleet.near as f64 * load / SPILL_LEAST;
+        let servers = self.group_share(group) * self.fleet.near as f64 * load / SPILL_LEAST;
         let many = self.settings.fleet_size as usize > self.fleet.ready;
         (servers.ceil() as usize).max(if many { 1 } else { GROUP_SET })
     }
@@ -1019,12 +1011,25 @@
         server.size() * server.health.led_back(now) * doubt
     }
 
-    /// How much the price of crossing zones slows a server down in the race.
-    fn far(&self, server: &Server) -> f64 {
-        match (self.settings.zone, server.entry.zone) {
-            (Some(own), Some(zone)) if own != zone => 1.0 + CROSS_WEIGHT * self.settings.prices.cross_zone,
-            _ => 1.0,
-        }
+    /// Whether a server is of the own zone, or as good as that where crossing costs nothing.
+    fn near(&self, server: &Server) -> bool {
+        let zones = self.settings.zone.zip(server.entry.zone);
+        zones.is_none_or(|(own, zone)| own == zone) || self.settings.prices.cross_zone == 0.0
+    }
+
+    /// How much crossing zones slows a server down in the race of a group whose copy costs so much.
+    fn far(&self, server: &Server, copy: f64) -> f64 {
+        if self.near(server) { 1.0 } else { zones::slowdown(self.settings.prices.cross_zone, copy) }
+    }
+
+    /// What it costs each connection of the request's group that the own zone has a server of its own for it.
+    fn copy_cost(&self, request: &Request) -> f64 {
+        let Some(group) = &request.group else { return 0.0 };
+        let near = self.fleet.near as f64 / self.fleet.ready.max(1) as f64;
+        let members = self.group_share(group) * self.standing as f64 * self.balancers() * near;
+        // Where no load is reported, nothing tells that there is room to spare.
+        let load = if is_blind(&self.settings) { FULL } else { self.fleet.mean_load };
+        zones::copy_cost(members, (load - GROUP_LOAD) / (FULL - GROUP_LOAD))
     }
 
     /// Load over capacity as it probably is now: the report as far as its age lets it be trusted, the fleet's
@@ -1227,7 +1232,7 @@
         let blind = is_blind(&self.settings);
         for server in self.servers.values().filter(|s| s.ready()) {
             ready += 1;
-            near += usize::from(self.far(server) == 1.0);
+            near += usize::from(self.near(server));
             own += server.standing.len();
             let size = server.size() * self.warmth(server, now);
             all_sizes += size;
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -10,7 +10,9 @@
 pub mod decide;
 pub mod health;
 pub mod interface;
+pub mod rendezvous;
 pub mod withheld;
+pub mod zones;
 
 pub use decide::Balancer;
 pub use withheld::Withheld;
