A relay that turns away all for 2.5 s tries wherever there is room: a circuit breaker

The relays' traces show 37 that refused fifteen or more for 3.9 s on end without an attempt, the longest for 14.6 s. Cause: with its group's card servers believed full (rank, no_room in decide.rs) a relay refuses, and its belief, own placements and reports up to 6 s old, may stay wrong for long. Now 2.5 s without a placement open the group's own card servers up to a load of 1 until one attempt is made (breaker.rs). Tests: crates/decisions/tests/breaker.rs, which fails if the breaker never opens.

--- a/crates/decisions/src/decide.rs
+++ b/crates/decisions/src/decide.rs
@@ -23,7 +23,9 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::blind::{self, Throttle, is_blind};
+use crate::breaker::Breaker;
 use crate::cold::{self, Slots};
+use crate::estimates::{blend, trust};
 use crate::health::Health;
 use crate::interface::*;
 use crate::rendezvous::{draw, race};
@@ -41,8 +43,6 @@
 const FRESH: Micros = 800_000;
 /// What a report shows is about this old already when it arrives; own placements since then are added to it.
 const REPORT_LAG: Micros = 1_000_000;
-/// Trust in a report falls by 1/e over this time, towards the fleet's mean.
-const TRUST_TIME: f64 = 6e6;
 /// A group takes a further server when its servers' load is this far above the fleet's mean ...
 const SPILL_ABOVE: f64 = 0.15;
 /// ... within these bounds.
@@ -258,6 +258,7 @@
     /// Own standing connections.
     standing: usize,
     throttle: Throttle,
+    breaker: Breaker,
     /// Own placements of late, fading over the lag of reports, and when that was reckoned.
     under_way: (f64, Micros),
     fleet: Fleet,
@@ -276,18 +277,6 @@
     request.group.as_ref().map(|group| xxh3_64_with_seed(group.0.as_bytes(), 2))
 }
 
-/// How far a report of that time is still trusted.
-fn trust(at: Micros, now: Micros) -> f64 {
-    (-(now.saturating_sub(at) as f64) / TRUST_TIME).exp()
-}
-
-/// Moves a running mean a little towards a new value.
-fn blend(mean: &mut Option<f64>, value: f64) {
-    if value.is_finite() && value >= 0.0 {
-        *mean = Some(mean.map_or(value, |m| m + (value - m) * 0.05));
-    }
-}
-
 impl Balancer {
     /// A balancer with nothing but its settings; the list of servers comes as an event.
     pub fn new(settings: Settings, seed: u64, now: Micros) -> Result<Balancer, SettingsError> {
@@ -315,6 +304,7 @@
             groups: BTreeMap::new(),
             standing: 0,
             throttle: Throttle::default(),
+            breaker: Breaker::default(),
             under_way: (0.0, now),
             born: now,
             fleet: Fleet {
@@ -762,6 +752,7 @@
 
     /// No server has room by the split. Where nothing is known, or all are doubtful, the best guess is tried.
     fn no_room(&mut self, now: Micros, mut flow: Flow, out: &mut Vec<Action>) {
+        self.breaker.no_room(now);
         let any_ready = self.servers.values().any(|s| s.ready() && !s.health.suspect());
         let open = self.servers.values().filter(|s| s.ready() && !flow.tried.contains(&s.entry.server));
         let open = open.filter(|s| self.may_send(&flow, &s.entry, now) && self.slot_open(s, now));
@@ -807,6 +798,7 @@
             server.recent.extend(told.then_some((now, units)));
             server.slots.take(&self.settings.rules, server.entry.started, now, rate);
         }
+        self.breaker.placed();
         let _ = flow.request.key.as_ref().map(|key| self.moved.remove(key));
         let aim = self.class(&flow).map_or(flow.request.time_left, |c| c.aim).max(LEAST_TRY);
         let timeout = aim.min(flow.deadline.saturating_sub(now)).max(1);
@@ -951,7 +943,7 @@
             set = wide.into_iter().take(reach).filter(|l| l.load < spill).collect();
         }
         if set.is_empty() {
-            let full = self.full(flow);
+            let full = if self.breaker.half_open(now) { 1.0 } else { self.full(flow) };
             set = lanes.iter().take(reach).filter(|l| l.load < full).collect();
         }
         let lead = need.min(set.len());
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -6,8 +6,10 @@
 //! virtual clock can drive it alike, and the same events give the same actions.
 
 pub mod blind;
+pub mod breaker;
 pub mod cold;
 pub mod decide;
+pub mod estimates;
 pub mod health;
 pub mod interface;
 pub mod rendezvous;
--- /dev/null
+++ b/crates/decisions/tests/breaker.rs
@@ -0,0 +1,52 @@
+//! A balancer that turns away all that comes tries again now and then.
+
+mod common;
+
+use common::*;
+use honeyknot_decisions::breaker::{Breaker, HALF_OPEN};
+use honeyknot_decisions::interface::*;
+
+#[test]
+fn it_is_half_open_after_its_time_and_closed_by_a_placement() {
+    let mut breaker = Breaker::default();
+    assert!(!breaker.half_open(START + HALF_OPEN), "nothing was turned away");
+    breaker.no_room(START);
+    breaker.no_room(START + HALF_OPEN - 1);
+    assert!(!breaker.half_open(START + HALF_OPEN - 1), "just before");
+    assert!(breaker.half_open(START + HALF_OPEN), "since the first that found no room");
+    breaker.placed();
+    assert!(!breaker.half_open(START + 2 * HALF_OPEN), "one was placed");
+}
+
+/// When requests that come every 0.3 s for ten seconds are placed, card servers reporting this load.
+fn placed_at(load: f64) -> Vec<Micros> {
+    let servers = [("a:1", Some(load)), ("b:1", Some(load)), ("c:1", Some(load))];
+    let mut bench = Bench::new(Settings { fleet_size: 100, ..settings() }, 5, &servers);
+    let mut placed = Vec::new();
+    for id in 0..33 {
+        let (at, asked) = (bench.now - START, Request { group: group("g"), ..request(id) });
+        // Each has a little more time than one attempt takes, so that none waits for long.
+        bench.feed(Event::Request(Request { time_left: SECOND * 7 / 10, ..asked }));
+        bench.pass(SECOND * 3 / 10);
+        if bench.places(id) > 0 {
+            placed.push(at);
+            bench.end(id, 0, Outcome::Full, true);
+        }
+    }
+    placed
+}
+
+/// Guards against a relay that turned away all of its clients for thirteen seconds on what it believed of loads.
+#[test]
+fn a_balancer_that_refuses_all_lets_one_try_every_few_seconds() {
+    let placed = placed_at(0.85);
+    assert!((2..=4).contains(&placed.len()), "{placed:?}");
+    assert!(placed[0] >= HALF_OPEN && placed[0] < HALF_OPEN + SECOND, "{placed:?}");
+    assert!(placed.windows(2).all(|two| two[1] - two[0] >= HALF_OPEN), "{placed:?}");
+}
+
+/// A card server that says it has more than it can do is no place to try.
+#[test]
+fn nobody_is_sent_to_servers_that_report_more_than_they_can_do() {
+    assert_eq!(placed_at(1.05), []);
+}
