--- a/crates/decisions/src/cold.rs
+++ b/crates/decisions/src/cold.rs
@@ -5,8 +5,8 @@
 //! faster than that. All R balancers together open slots at [`PART`] of the multiple times that pace, each 1/R of it from a phase
 //! of its own, uniform on 0 to 1. So the slots that open in a time `t` are a sum of R independent draws whose mean is exactly
 //! PART x N x t / `fall` whatever R is, and whose variance is at most that mean: parts below one are drawn and never rounded up. A
-//! slot that is not used lapses after half of `fall`: what can come in `fall` after a lull is what opens in one and a half times
-//! that, N in the mean. No I/O, no clock.
+//! slot that is not used lapses after `fall`: what can come in `fall` after a lull is what opens in twice that time, 4/3 N in the
+//! mean. No I/O, no clock.
 
 use crate::interface::{Micros, Rules};
 
@@ -14,10 +14,6 @@
 /// the true pace of warming up.
 pub const PART: f64 = 2.0 / 3.0;
 
-/// A slot lapses after this part of the rule's time. More would let more come at once after a lull; less would leave cold servers idle
-/// where there are many balancers, of which few have a request at hand while a slot of theirs is open.
-const LAPSE: f64 = 0.5;
-
 /// The part of its capacity that a server which started then surely has by now.
 pub fn warmth(rules: &Rules, started: Micros, now: Micros) -> f64 {
     let age = now.saturating_sub(started);
@@ -63,7 +59,7 @@
         }
         let opened = self.opened(rules, started, now, rate);
         let since = opened.fract() / (rate * warmth).max(1e-12);
-        opened as u64 > self.used && since < LAPSE * rules.fall as f64
+        opened as u64 > self.used && since < rules.fall as f64
     }
 
     /// Uses the one that is open, and those that have lapsed.
--- a/crates/decisions/src/decide.rs
+++ b/crates/decisions/src/decide.rs
@@ -1016,12 +1016,10 @@
 
     /// What it costs each connection of the request's group that the own zone has a server of its own for it.
     fn copy_cost(&self, request: &Request) -> f64 {
-        let Some(group) = &request.group else { return 0.0 };
+        // Where loads are reported, the spill to other zones is what spares a full one.
+        let Some(group) = request.group.as_ref().filter(|_| is_blind(&self.settings)) else { return 0.0 };
         let near = self.fleet.near as f64 / self.fleet.ready.max(1) as f64;
-        let members = self.group_share(group) * self.standing as f64 * self.balancers() * near;
-        // Where no load is reported, nothing tells that there is room to spare.
-        let load = if is_blind(&self.settings) { FULL } else { self.fleet.mean_load };
-        zones::copy_cost(members, (load - GROUP_LOAD) / (FULL - GROUP_LOAD))
+        zones::copy_cost(self.group_share(group) * self.standing as f64 * self.balancers() * near)
     }
 
     /// Load over capacity as it probably is now: the report as far as its age lets it be trusted, the fleet's
