Homing works without probes again where reports come with answers; only its own probe is held back

Read once more: the check that no card server is probed where the settings allow none stood before all of bring_home, so where loads come with answers and probes are not allowed (reports are fresh there too) nobody was brought home any more. It stands at the probe now, as nothing_is_probed_where_probes_are_not_allowed still wants.

--- a/crates/decisions/src/decide.rs
+++ b/crates/decisions/src/decide.rs
@@ -506,8 +506,7 @@
     /// server of the own zone has room by a fresh report; the oldest first, as those have shown to last.
     /// Guards against what was placed before the start, or by need, costing by the second to its end.
     fn bring_home(&mut self, now: Micros, out: &mut Vec<Action>) {
-        // Without probes hardly a report is ever fresh, and none may be asked for.
-        if !self.settings.permissions.probes || self.rng.random::<f64>() * self.balancers() >= HOMERS {
+        if self.rng.random::<f64>() * self.balancers() >= HOMERS {
             return;
         }
         let near = self.servers.values().filter(|s| self.near(s) && !s.slow(now));
@@ -526,7 +525,10 @@
         let Some((_, id, from)) = strays.max_by(|a, b| a.0.total_cmp(&b.0)) else { return };
         let from = from.entry.server.clone();
         if let Some(server) = self.servers.get_mut(&near).filter(|s| !s.fresh(now)) {
-            server.probe(now, out);
+            // Where it may not be asked, a report that comes with an answer is waited for.
+            if self.settings.permissions.probes {
+                server.probe(now, out);
+            }
         } else if let Some(server) = self.servers.get_mut(&from).filter(|_| load < HOME_LOAD) {
             server.moves = Some(MovePlan { flagged: vec![id], end: now });
         }
--- a/crates/decisions/tests/zones.rs
+++ b/crates/decisions/tests/zones.rs
@@ -1,4 +1,4 @@
-//! Groups and zones: together on few servers where the fleet is full or tells nothing, in their clients' zones where there is room.
+//! Groups and zones: together on few servers where nothing is reported, in their clients' zones where loads are.
 
 mod common;
 
