--- a/review/standin/standin.rs
+++ b/review/standin/standin.rs
@@ -296,14 +296,21 @@
 }
 
 impl Platform {
-    /// Writes the configuration of a relay with the settings of the example in WIRE.
+    /// Writes the configuration of a relay of a small deployment that asks for its lists.
     pub fn new(name: &str, sockets: u64, discovery: &Discovery, record: &Record) -> Platform {
+        Platform::with_discovery_mode("on_request", name, sockets, discovery, record)
+    }
+
+    /// The same with another way in which lists come, `on_request` or `pushed`.
+    pub fn with_discovery_mode(
+        mode: &str, name: &str, sockets: u64, discovery: &Discovery, record: &Record,
+    ) -> Platform {
         let root = std::env::current_dir().unwrap();
         let stamp = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_nanos();
         let folder = std::env::temp_dir().join(format!("review-{name}-{}-{stamp}", std::process::id()));
         fs::create_dir_all(folder.join("tmp")).unwrap();
         let listen = free_address();
-        let settings = include_str!("settings.json");
+        let settings = include_str!("settings.json").replacen("on_request", mode, 1);
         let config = format!(
             "{{\"name\":\"{name}\",\"listen\":\"{listen}\",\"discovery\":\"{}\",\"seed\":\"8c1f30d27a5be964\",\
              \"limits\":{{\"cores\":1.0,\"memory_mb\":192,\"sockets\":{sockets}}},\
@@ -312,7 +319,14 @@
             discovery.list()
         );
         fs::write(folder.join("config.json"), config).unwrap();
-        Platform { name: name.to_owned(), root, folder, listen, discovery: discovery.address, record: record.clone() }
+        Platform {
+            name: name.to_owned(),
+            root,
+            folder,
+            listen,
+            discovery: discovery.address,
+            record: record.clone(),
+        }
     }
 
     /// Replaces the configuration file: `discovery` names another address.
