Review, case 1: after a short trouble at one card server relays reject everybody for good

Reports in answers and no probes: an endpoint's placements are forgotten only when a report of it comes, and sessions bring none. Placing goes on as long as no endpoint has a report; the first ERR with one ends that.

--- a/review/standin/standin.rs
+++ b/review/standin/standin.rs
@@ -61,10 +61,19 @@
     /// The connections that it has brought up.
     sessions: Arc<Mutex<Vec<TcpStream>>>,
     draining: Arc<AtomicBool>,
+    /// How long a session lasts, where the card server ends it with `BYE`; its answers then hold load reports.
+    life: Option<Duration>,
+    /// Whether it quickly fails three of five requests.
+    failing: Arc<AtomicBool>,
 }
 
 impl CardServer {
     pub fn start(id: &str, record: &Record) -> CardServer {
+        CardServer::start_with_life(None, id, record)
+    }
+
+    /// The same with another end of sessions.
+    pub fn start_with_life(life: Option<Duration>, id: &str, record: &Record) -> CardServer {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let server = CardServer {
             id: id.to_owned(),
@@ -72,6 +81,8 @@
             opened: Arc::default(),
             sessions: Arc::default(),
             draining: Arc::default(),
+            life,
+            failing: Arc::default(),
         };
         let (this, record) = (server.clone(), record.clone());
         spawn(move || {
@@ -93,6 +104,12 @@
         }
     }
 
+    /// Begins or ceases to fail three of five requests.
+    pub fn set_failing(&self, failing: bool, record: &Record) {
+        record.add(format!("{} {} to fail", self.id, if failing { "begins" } else { "ceases" }));
+        self.failing.store(failing, Ordering::Relaxed);
+    }
+
     /// Is restarted by its operators: the connections that it has end, and it is up again at once.
     pub fn restart(&self, record: &Record) {
         record.add(format!("{} is restarted", self.id));
@@ -101,6 +118,11 @@
         }
     }
 
+    fn with_report(&self, answer: &str) -> String {
+        let report = if self.life.is_some() { " util=0.2,latency_ms=5,x0=0.2" } else { "" };
+        format!("{answer}{report}\r\n")
+    }
+
     fn serve(&self, stream: TcpStream, record: &Record) {
         let _ = stream.set_nodelay(true);
         let mut writer = stream.try_clone().unwrap();
@@ -113,10 +135,23 @@
                     record.add(format!("{} {} {id}", self.id, if draining { "turns away" } else { "runs" }));
                     self.opened.lock().unwrap().push((id.clone(), record.now()));
                     if draining {
-                        let _ = writer.write_all(b"BUSY\r\n");
+                        let _ = writer.write_all(self.with_report("BUSY").as_bytes());
+                        return;
+                    }
+                    if self.failing.load(Ordering::Relaxed) && self.opened.lock().unwrap().len() % 5 < 3 {
+                        record.add(format!("{} fails {id}", self.id));
+                        let _ = writer.write_all(self.with_report("ERR").as_bytes());
                         return;
                     }
                     self.sessions.lock().unwrap().push(writer.try_clone().unwrap());
+                    if let Some(life) = self.life {
+                        let (this, mut writer) = (self.clone(), writer.try_clone().unwrap());
+                        spawn(move || {
+                            sleep(life);
+                            let _ = writer.write_all(this.with_report("BYE").as_bytes());
+                            let _ = writer.shutdown(Shutdown::Write);
+                        });
+                    }
                     format!("UP r-{id}\r\n")
                 }
                 Some("STATS") => "PONG util=0.2,latency_ms=5,x0=0.2\r\n".to_owned(),
@@ -341,19 +376,23 @@
 impl Platform {
     /// Writes the configuration of a relay of a small deployment that asks for its lists.
     pub fn new(name: &str, sockets: u64, discovery: &Discovery, record: &Record) -> Platform {
-        Platform::with_discovery_mode("on_request", name, sockets, discovery, record)
+        Platform::with_changes(&[], name, sockets, discovery, record)
     }
 
-    /// The same with another way in which lists come, `on_request` or `pushed`.
-    pub fn with_discovery_mode(
-        mode: &str, name: &str, sockets: u64, discovery: &Discovery, record: &Record,
+    /// The same with changes to the settings: texts, and what stands in their place.
+    pub fn with_changes(
+        changes: &[(&str, &str)], name: &str, sockets: u64, discovery: &Discovery, record: &Record,
     ) -> Platform {
         let root = std::env::current_dir().unwrap();
         let stamp = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_nanos();
         let folder = std::env::temp_dir().join(format!("review-{name}-{}-{stamp}", std::process::id()));
         fs::create_dir_all(folder.join("tmp")).unwrap();
         let listen = free_address();
-        let settings = include_str!("settings.json").replacen("on_request", mode, 1);
+        let mut settings = include_str!("settings.json").to_owned();
+        for (from, to) in changes {
+            assert!(settings.contains(from), "the settings hold {from}");
+            settings = settings.replacen(from, to, 1);
+        }
         let config = format!(
             "{{\"name\":\"{name}\",\"listen\":\"{listen}\",\"discovery\":\"{}\",\"seed\":\"8c1f30d27a5be964\",\
              \"limits\":{{\"cores\":1.0,\"memory_mb\":192,\"sockets\":{sockets}}},\
