Hot restart: a maintenance command holds in both processes from its YES on

Cause: a successor had no link to its predecessor until it took over. Changes made before were sent to nobody and confirmed at once, and the state that came with the handover replaced them. After the takeover each process applied its own change first and the other's last, so opposite commands sent to both at once left them disagreeing.

Evidence: right after the YES, `stats` shows 1 endpoint excluded at the successor and 0 at the predecessor.

Change: the successor opens the link before it waits for discovery and says so in its first message, so that versions are told apart. Answers and changes go through one queue in the order in which they were applied; the predecessor's order counts, and a successor keeps its own change until that is confirmed. The receiver of a change saves it, too. The endpoints that drain according to discovery come with the handover as well.

--- a/src/relay/lifecycle/hot_restart/link.rs
+++ b/src/relay/lifecycle/hot_restart/link.rs
@@ -6,7 +6,6 @@
 use honeyknot_balancer::{EndpointId, Micros};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::UnboundedReceiver;
-use tokio::sync::oneshot;
 use tracing::{info, warn};
 
 use super::maintenance::MaintenanceChange;
@@ -43,7 +42,7 @@
     channel: TakeoverChannel, mut commands: UnboundedReceiver<LinkCommand>,
 ) {
     let timers = relay.borrow().timers.clone();
-    let mut link = LinkTask { relay: relay.clone(), listener, channel, unconfirmed: Vec::new() };
+    let mut link = LinkTask { relay: relay.clone(), directory: directory.clone(), listener, channel };
     link.exchange(&mut commands, &timers).await;
     let stage = relay.borrow_mut().listener_ownership.link.take().map(|link| link.stage);
     commands.close();
@@ -64,12 +63,10 @@
 /// The task that runs one end of the link.
 struct LinkTask {
     relay: SharedRelay,
+    directory: Rc<StateDirectory>,
     /// The listener, in the predecessor; `None` in the successor.
     listener: Option<Rc<TcpListener>>,
     channel: TakeoverChannel,
-    /// Maintenance changes that the other process has not confirmed yet: their numbers and the senders that
-    /// notify the waiting commands.
-    unconfirmed: Vec<(u64, oneshot::Sender<()>)>,
 }
 
 impl LinkTask {
@@ -78,7 +75,10 @@
         while state == LinkState::Open {
             state = tokio::select! {
                 message = self.channel.next() => match message {
-                    Some(message) => self.handle_message(message).await,
+                    Some(message) => {
+                        self.handle_message(message);
+                        LinkState::Open
+                    }
                     None => LinkState::Closed,
                 },
                 command = commands.recv() => match command {
@@ -98,12 +98,7 @@
 
     async fn execute(&mut self, command: LinkCommand, timers: &Rc<Timers>) -> LinkState {
         match command {
-            LinkCommand::SetMaintenance(message, confirmed) => {
-                if let HotRestartMessage::SetMaintenance { number, .. } = &message {
-                    self.unconfirmed.push((*number, confirmed));
-                }
-                self.send(&message).await
-            }
+            LinkCommand::Send(message) => self.send(&message).await,
             LinkCommand::Transfer(transfer) => self.send_connection(*transfer, timers).await,
         }
     }
@@ -124,54 +119,37 @@
         self.send(&HotRestartMessage::DescriptorsInUse { descriptors }).await
     }
 
-    async fn handle_message(&mut self, message: HotRestartMessage) -> LinkState {
+    /// Handles a message. Answers are queued as commands: they must follow the changes that this process has
+    /// made before, see [`Link::keeps_own_change`](super::ownership::Link::keeps_own_change).
+    fn handle_message(&mut self, message: HotRestartMessage) {
         match message {
-            HotRestartMessage::TakeOver if self.listener.is_some() => self.hand_over().await,
+            HotRestartMessage::TakeOver if self.listener.is_some() => self.hand_over(),
+            HotRestartMessage::HandedOver { maintenance, draining } if self.listener.is_none() => {
+                self.relay.borrow_mut().complete_takeover(maintenance, &draining);
+            }
             HotRestartMessage::SetMaintenance { id, in_maintenance, number } => {
-                let now = self.relay.borrow().timers.clock.now();
-                let (id, change) =
-                    (EndpointId(id.as_str().into()), MaintenanceChange::from_in_maintenance(in_maintenance));
-                self.relay.borrow_mut().apply_maintenance_command(now, &id, change);
-                self.send(&HotRestartMessage::Confirmed { number }).await
+                let change = MaintenanceChange::from_in_maintenance(in_maintenance);
+                let id = EndpointId(id.as_str().into());
+                self.relay.borrow_mut().receive_maintenance_change(&id, change, number);
+                // Both processes save every change, so that whichever writes last writes the changes of both.
+                self.directory.save_in_background(&self.relay);
             }
             HotRestartMessage::Confirmed { number } => {
-                self.confirm(number);
-                LinkState::Open
-            }
-            HotRestartMessage::Connection(snapshot) => {
-                self.receive_connection(snapshot);
-                LinkState::Open
+                self.relay.borrow_mut().confirm_maintenance_change(number);
             }
+            HotRestartMessage::Connection(snapshot) => self.receive_connection(snapshot),
             HotRestartMessage::DescriptorsInUse { descriptors } => {
                 self.set_peer_descriptors(|_| descriptors);
-                LinkState::Open
             }
-            _ => LinkState::Open,
+            _ => {}
         }
     }
 
     /// Stops accepting clients, and tells the successor that it may start.
-    async fn hand_over(&self) -> LinkState {
-        let relay = &self.relay;
-        listener::stop_accepting(relay);
-        if let Some(link) = &mut relay.borrow_mut().listener_ownership.link {
-            link.stage = RestartStage::HandedOver;
-        }
-        let maintenance = relay.borrow().maintenance_state();
-        let descriptors = relay.borrow().descriptors_in_use.get();
+    fn hand_over(&self) {
+        listener::stop_accepting(&self.relay);
+        self.relay.borrow_mut().hand_over();
         info!(target: "hot_restart", "handed over to the successor");
-        if self.send(&HotRestartMessage::HandedOver { maintenance }).await == LinkState::Closed {
-            return LinkState::Closed;
-        }
-        self.send(&HotRestartMessage::DescriptorsInUse { descriptors }).await
-    }
-
-    /// Notifies the command that waits for the confirmation of a maintenance change.
-    fn confirm(&mut self, number: u64) {
-        if let Some(index) = self.unconfirmed.iter().position(|(waiting, _)| *waiting == number) {
-            let (_, confirmed) = self.unconfirmed.swap_remove(index);
-            let _ = confirmed.send(());
-        }
     }
 
     /// Restores a connection that the predecessor has transferred.
--- a/src/relay/lifecycle/hot_restart/maintenance.rs
+++ b/src/relay/lifecycle/hot_restart/maintenance.rs
@@ -7,7 +7,7 @@
 use tokio::sync::oneshot;
 
 use super::maintenance_state::{EndedMaintenance, OngoingMaintenance};
-use super::ownership::{LinkCommand, RestartStage};
+use super::ownership::UnconfirmedChange;
 use super::{HotRestartMessage, MaintenanceState, SetMaintenanceError};
 use crate::relay::{Relay, SharedRelay};
 
@@ -44,7 +44,7 @@
         MaintenanceChange::End => relay.borrow_mut().end_maintenance(&endpoint),
     };
     changed.map_err(|_| SetMaintenanceError::UnknownEndpoint(id.to_owned()))?;
-    let confirmed = relay.borrow_mut().send_maintenance_change(id, change);
+    let confirmed = relay.borrow_mut().send_maintenance_change(&endpoint, change);
     let directory = relay.borrow().listener_ownership.directory.clone();
     if let Some(directory) = directory {
         // The change is already in effect. It is saved so that a later process does not restore an older
@@ -74,21 +74,43 @@
 
 impl Relay {
     /// Sends a maintenance change to the other process. Returns a receiver for its confirmation, or `None` if
-    /// no other process needs the change.
+    /// there is no other process, or it is a successor that receives the change with the handover.
     fn send_maintenance_change(
-        &mut self, id: &str, change: MaintenanceChange,
+        &mut self, id: &EndpointId, change: MaintenanceChange,
     ) -> Option<oneshot::Receiver<()>> {
         let ownership = &mut self.listener_ownership;
         ownership.changes_sent += 1;
-        let message = HotRestartMessage::SetMaintenance {
-            id: id.to_owned(),
+        let number = ownership.changes_sent;
+        let link = ownership.link.as_mut().filter(|link| link.peer_receives_changes)?;
+        let (sender, confirmed) = oneshot::channel();
+        link.unconfirmed.push(UnconfirmedChange { number, endpoint: id.clone(), confirmed: sender });
+        link.send(HotRestartMessage::SetMaintenance {
+            id: id.0.as_ref().to_owned(),
             in_maintenance: change == MaintenanceChange::Start,
-            number: ownership.changes_sent,
-        };
-        // A successor that is still preparing receives all changes with the handover.
-        let link = ownership.link.as_ref().filter(|link| link.stage != RestartStage::Preparing)?;
-        let (confirm, confirmed) = oneshot::channel();
-        link.commands.send(LinkCommand::SetMaintenance(message, confirm)).ok().map(|()| confirmed)
+            number,
+        });
+        Some(confirmed)
+    }
+
+    /// Applies a maintenance change that was made in the other process, and confirms it.
+    pub(super) fn receive_maintenance_change(
+        &mut self, id: &EndpointId, change: MaintenanceChange, number: u64,
+    ) {
+        let link = self.listener_ownership.link.as_ref();
+        if !link.is_some_and(|link| link.keeps_own_change(id)) {
+            self.apply_maintenance_command(self.timers.clock.now(), id, change);
+        }
+        if let Some(link) = &self.listener_ownership.link {
+            link.send(HotRestartMessage::Confirmed { number });
+        }
+    }
+
+    /// Notifies the admin command that waits for the confirmation of a maintenance change.
+    pub(super) fn confirm_maintenance_change(&mut self, number: u64) {
+        let Some(link) = &mut self.listener_ownership.link else { return };
+        if let Some(index) = link.unconfirmed.iter().position(|change| change.number == number) {
+            let _ = link.unconfirmed.swap_remove(index).confirmed.send(());
+        }
     }
 
     /// Returns the maintenance state, in the form that is sent to another process and saved.
@@ -113,6 +135,7 @@
     }
 
     /// Replaces the maintenance state by one received from the predecessor or read from the maintenance file.
+    /// Changes made in this process that the predecessor has not confirmed yet stay in effect.
     pub(super) fn restore_maintenance(&mut self, state: MaintenanceState) {
         let endpoint = |id: &String| EndpointId(id.as_str().into());
         for EndedMaintenance { id, from, to } in &state.ended {
@@ -120,10 +143,13 @@
             let changed = self.maintenance.record_window(window, &endpoint(id));
             self.apply_maintenance_change(changed);
         }
-        let ongoing: BTreeMap<EndpointId, Micros> =
-            state.ongoing.iter().map(|ongoing| (endpoint(&ongoing.id), ongoing.since)).collect();
+        let link = self.listener_ownership.link.as_ref();
+        let keeps = |id: &EndpointId| link.is_some_and(|link| link.keeps_own_change(id));
+        let received = state.ongoing.iter().map(|ongoing| (endpoint(&ongoing.id), ongoing.since));
+        let ongoing: BTreeMap<EndpointId, Micros> = received.filter(|(id, _)| !keeps(id)).collect();
         let current = self.maintenance.in_maintenance().map(|(id, _)| id);
-        let ended: Vec<EndpointId> = current.filter(|id| !ongoing.contains_key(*id)).cloned().collect();
+        let ended: Vec<EndpointId> =
+            current.filter(|id| !ongoing.contains_key(*id) && !keeps(id)).cloned().collect();
         let now = self.timers.clock.now();
         for id in &ended {
             self.apply_maintenance_command(now, id, MaintenanceChange::End);
@@ -135,9 +161,7 @@
 
     /// Applies a maintenance change from another process or from the maintenance file. `at` is recorded as
     /// the time of the change, in Unix microseconds.
-    pub(super) fn apply_maintenance_command(
-        &mut self, at: Micros, id: &EndpointId, change: MaintenanceChange,
-    ) {
+    fn apply_maintenance_command(&mut self, at: Micros, id: &EndpointId, change: MaintenanceChange) {
         let changed = match change {
             MaintenanceChange::Start => self.maintenance.restore_maintenance(at, id),
             MaintenanceChange::End => self.maintenance.end_maintenance(at, id).ok().flatten(),
--- a/src/relay/lifecycle/hot_restart/message.rs
+++ b/src/relay/lifecycle/hot_restart/message.rs
@@ -10,7 +10,12 @@
 #[serde(tag = "say", rename_all = "kebab-case")]
 pub enum HotRestartMessage {
     /// Successor to predecessor: requests the listening socket.
-    Hello,
+    Hello {
+        /// Whether the successor handles messages while it prepares. Earlier versions do not send this field
+        /// and read nothing before they take over.
+        #[serde(rename = "follows", default, skip_serializing_if = "std::ops::Not::not")]
+        receives_changes: bool,
+    },
     /// Predecessor to successor, with the descriptor of the listening socket: the state to take over.
     State {
         /// The maintenance state.
@@ -32,6 +37,10 @@
         /// The current maintenance state.
         #[serde(rename = "by_hand")]
         maintenance: MaintenanceState,
+        /// Ids of the endpoints that are draining or removed according to discovery; empty if the successor
+        /// is an earlier version.
+        #[serde(rename = "leaving", default, skip_serializing_if = "Vec::is_empty")]
+        draining: Vec<String>,
     },
     /// Predecessor to successor: the number of descriptors in use.
     #[serde(rename = "holding")]
--- a/src/relay/lifecycle/hot_restart/ownership.rs
+++ b/src/relay/lifecycle/hot_restart/ownership.rs
@@ -2,23 +2,24 @@
 
 use std::rc::Rc;
 
+use honeyknot_balancer::EndpointId;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::sync::oneshot;
 use tokio::task::AbortHandle;
 
-use super::StateDirectory;
 use super::message::HotRestartMessage;
+use super::{MaintenanceState, StateDirectory};
 use crate::relay::Relay;
 use crate::relay::connections::ConnectionTransfer;
 
 /// Descriptors that a process uses beyond those that it counts.
 const UNCOUNTED_DESCRIPTORS: usize = 16;
 
-/// A command to the task that runs the link.
+/// A command to the task that runs the link. Commands are executed in order.
 #[derive(Debug)]
 pub(super) enum LinkCommand {
-    /// Send a maintenance change; the sender notifies the command that waits for its confirmation.
-    SetMaintenance(HotRestartMessage, oneshot::Sender<()>),
+    /// Send a message.
+    Send(HotRestartMessage),
     /// Transfer a connection to the other process.
     Transfer(Box<ConnectionTransfer>),
 }
@@ -30,19 +31,62 @@
     Preparing,
     /// The other process is the successor and accepts clients.
     HandedOver,
+    /// This process is the successor and is preparing; its predecessor accepts clients.
+    TakingOver,
     /// This process is the successor and accepts clients; its predecessor still runs.
     TookOver,
 }
 
+impl RestartStage {
+    /// Returns whether this process is the successor.
+    fn is_successor(self) -> bool {
+        matches!(self, RestartStage::TakingOver | RestartStage::TookOver)
+    }
+}
+
+/// A maintenance change made in this process that the other process has not confirmed yet.
+#[derive(Debug)]
+pub(super) struct UnconfirmedChange {
+    pub(super) number: u64,
+    pub(super) endpoint: EndpointId,
+    /// Notifies the admin command that waits for the confirmation.
+    pub(super) confirmed: oneshot::Sender<()>,
+}
+
 /// This process's end of the link to the other process.
 #[derive(Debug)]
 pub(super) struct Link {
     pub(super) commands: UnboundedSender<LinkCommand>,
     pub(super) stage: RestartStage,
+    /// Whether the other process handles maintenance changes now. A successor of an earlier version does not
+    /// before it has taken over.
+    pub(super) peer_receives_changes: bool,
+    /// Maintenance changes that the other process has not confirmed yet.
+    pub(super) unconfirmed: Vec<UnconfirmedChange>,
+    /// In a successor that has requested the takeover: notified when the predecessor has handed over.
+    pub(super) handed_over: Option<oneshot::Sender<()>>,
     /// The number of descriptors in use that the other process has reported.
     pub(super) peer_descriptors: usize,
 }
 
+impl Link {
+    /// Queues a message to the other process. The message is lost if the link is closing.
+    pub(super) fn send(&self, message: HotRestartMessage) {
+        let _ = self.commands.send(LinkCommand::Send(message));
+    }
+
+    /// Returns whether this process keeps its own change of an endpoint's maintenance when the other process
+    /// sends another state of it.
+    ///
+    /// Both processes must end with the same state when operators send commands to both at once. The order in
+    /// which the predecessor applies the changes is the valid one. It confirms a change after it has sent all
+    /// changes that precede it. So what arrives at the successor before the confirmation of its own change
+    /// precedes that change.
+    pub(super) fn keeps_own_change(&self, endpoint: &EndpointId) -> bool {
+        self.stage.is_successor() && self.unconfirmed.iter().any(|change| change.endpoint == *endpoint)
+    }
+}
+
 /// This process's part in the ownership of the relay's listener, which passes from process to process.
 #[derive(Debug, Default)]
 pub struct ListenerOwnership {
@@ -69,12 +113,57 @@
 
 impl Relay {
     /// Opens this process's end of a link, and returns the receiver of its commands.
-    pub(super) fn open_link(&mut self, stage: RestartStage) -> UnboundedReceiver<LinkCommand> {
+    pub(super) fn open_link(
+        &mut self, stage: RestartStage, peer_receives_changes: bool,
+    ) -> UnboundedReceiver<LinkCommand> {
         let (commands, queue) = unbounded_channel();
-        self.listener_ownership.link = Some(Link { commands, stage, peer_descriptors: 0 });
+        self.listener_ownership.link = Some(Link {
+            commands,
+            stage,
+            peer_receives_changes,
+            unconfirmed: Vec::new(),
+            handed_over: None,
+            peer_descriptors: 0,
+        });
         queue
     }
 
+    /// Asks the predecessor to stop accepting clients. Returns a receiver that is notified when it has, or
+    /// `None` if the predecessor has ended.
+    pub(super) fn request_takeover(&mut self) -> Option<oneshot::Receiver<()>> {
+        let link = self.listener_ownership.link.as_mut()?;
+        let (sender, handed_over) = oneshot::channel();
+        link.handed_over = Some(sender);
+        link.send(HotRestartMessage::TakeOver);
+        Some(handed_over)
+    }
+
+    /// Marks the successor as the process that accepts clients, and sends it the current state.
+    pub(super) fn hand_over(&mut self) {
+        let (maintenance, draining) = (self.maintenance_state(), self.draining_endpoints());
+        let descriptors = self.descriptors_in_use.get();
+        let Some(link) = &mut self.listener_ownership.link else { return };
+        let draining = if link.peer_receives_changes { draining } else { Vec::new() };
+        link.stage = RestartStage::HandedOver;
+        link.peer_receives_changes = true;
+        link.send(HotRestartMessage::HandedOver { maintenance, draining });
+        link.send(HotRestartMessage::DescriptorsInUse { descriptors });
+    }
+
+    /// Restores the state that the predecessor has sent with the handover.
+    pub(super) fn complete_takeover(&mut self, maintenance: MaintenanceState, draining: &[String]) {
+        self.restore_maintenance(maintenance);
+        // A list that discovery has sent to this process is not older than the predecessor's.
+        if !self.has_discovery_answered() {
+            self.mark_draining(draining);
+        }
+        let Some(link) = &mut self.listener_ownership.link else { return };
+        link.stage = RestartStage::TookOver;
+        if let Some(handed_over) = link.handed_over.take() {
+            let _ = handed_over.send(());
+        }
+    }
+
     /// Transfers a connection to the process that accepts clients.
     ///
     /// # Errors
@@ -88,7 +177,7 @@
         };
         link.commands.send(LinkCommand::Transfer(Box::new(transfer))).map_err(|unsent| match unsent.0 {
             LinkCommand::Transfer(transfer) => transfer,
-            LinkCommand::SetMaintenance(..) => unreachable!("a connection was sent"),
+            LinkCommand::Send(_) => unreachable!("a connection was sent"),
         })
     }
 }
--- a/src/relay/lifecycle/hot_restart/predecessor.rs
+++ b/src/relay/lifecycle/hot_restart/predecessor.rs
@@ -40,7 +40,7 @@
 ) -> Result<Option<(TcpListener, Predecessor)>, HotRestartError> {
     let Some(mut channel) = TakeoverChannel::connect(&directory.socket_path()).await else { return Ok(None) };
     let request = async {
-        channel.send(&HotRestartMessage::Hello, &[]).await.ok()?;
+        channel.send(&HotRestartMessage::Hello { receives_changes: true }, &[]).await.ok()?;
         channel.next().await
     };
     match tokio::time::timeout(Duration::from_micros(ANSWER_TIMEOUT), request).await {
@@ -64,22 +64,21 @@
 }
 
 /// Restores the predecessor's state, waits for discovery, and takes over accepting clients.
+///
+/// The link is open from the start, so that a maintenance change made at either process takes effect in both,
+/// at whatever stage they are.
 pub(super) async fn take_over(
     relay: &SharedRelay, directory: &Rc<StateDirectory>, listener: &Rc<TcpListener>, predecessor: Predecessor,
 ) -> Result<(), HotRestartError> {
-    let Predecessor { mut channel, maintenance, draining } = predecessor;
-    let timers = relay.borrow().timers.clone();
+    let Predecessor { channel, maintenance, draining } = predecessor;
     relay.borrow_mut().restore_maintenance(maintenance);
     relay.borrow_mut().mark_draining(&draining);
-    wait_for_discovery(relay).await?;
-    let maintenance = tokio::select! {
-        maintenance = request_takeover(&mut channel) => maintenance,
-        () = timers.sleep(ANSWER_TIMEOUT) => return Err(HotRestartError::NotHandedOver),
-    };
-    if let Some(maintenance) = maintenance {
-        relay.borrow_mut().restore_maintenance(maintenance);
-        let commands = relay.borrow_mut().open_link(RestartStage::TookOver);
-        tokio::task::spawn_local(link::run(relay.clone(), directory.clone(), None, channel, commands));
+    let commands = relay.borrow_mut().open_link(RestartStage::TakingOver, true);
+    tokio::task::spawn_local(link::run(relay.clone(), directory.clone(), None, channel, commands));
+    if let Err(error) = wait_for_handover(relay).await {
+        // Closes the link, so that the predecessor admits another successor.
+        relay.borrow_mut().listener_ownership.link = None;
+        return Err(error);
     }
     listener::start_accepting(relay, listener);
     let predecessor_running = relay.borrow().listener_ownership.link.is_some();
@@ -87,6 +86,19 @@
     Ok(())
 }
 
+/// Waits until this process may accept clients: discovery has answered or its timeout has passed, and the
+/// predecessor has stopped accepting or has ended.
+async fn wait_for_handover(relay: &SharedRelay) -> Result<(), HotRestartError> {
+    wait_for_discovery(relay).await?;
+    let timers = relay.borrow().timers.clone();
+    let Some(handed_over) = relay.borrow_mut().request_takeover() else { return Ok(()) };
+    tokio::select! {
+        // An error means that the predecessor has ended.
+        _ = handed_over => Ok(()),
+        () = timers.sleep(ANSWER_TIMEOUT) => Err(HotRestartError::NotHandedOver),
+    }
+}
+
 async fn wait_for_discovery(relay: &SharedRelay) -> Result<(), HotRestartError> {
     let timers = relay.borrow().timers.clone();
     let wait_until = relay.borrow().started_at + DISCOVERY_TIMEOUT;
@@ -98,19 +110,3 @@
     }
     Ok(())
 }
-
-/// Asks the predecessor to stop accepting clients. Returns its maintenance state, or `None` if the
-/// predecessor has ended.
-async fn request_takeover(channel: &mut TakeoverChannel) -> Option<MaintenanceState> {
-    channel.send(&HotRestartMessage::TakeOver, &[]).await.ok()?;
-    loop {
-        match channel.next().await? {
-            HotRestartMessage::HandedOver { maintenance } => return Some(maintenance),
-            // The state that comes with the handover includes this change, so it is only confirmed.
-            HotRestartMessage::SetMaintenance { number, .. } => {
-                channel.send(&HotRestartMessage::Confirmed { number }, &[]).await.ok()?
-            }
-            _ => {}
-        }
-    }
-}
--- a/src/relay/lifecycle/hot_restart/state_directory.rs
+++ b/src/relay/lifecycle/hot_restart/state_directory.rs
@@ -3,12 +3,14 @@
 //!
 //! The file is written under a temporary name and renamed, and has a checksum. A damaged file is ignored.
 
+use std::cell::Cell;
 use std::fs::{self, DirBuilder, File};
 use std::io::{self, Write};
 use std::net::SocketAddr;
 use std::os::fd::AsRawFd;
 use std::os::unix::fs::{DirBuilderExt, MetadataExt, PermissionsExt};
 use std::path::{Path, PathBuf};
+use std::rc::Rc;
 
 use tokio::net::UnixListener;
 use tokio::sync::Mutex;
@@ -52,6 +54,8 @@
     descriptor: Option<File>,
     /// Locked while the maintenance file is written.
     writing: Mutex<()>,
+    /// Whether a save in the background waits for `writing`. It will write all changes made until then.
+    background_save_waits: Cell<bool>,
 }
 
 /// Opens the state directory of the relay that listens on an address, below `$TMPDIR`. Returns `None` if
@@ -88,7 +92,12 @@
         }
         let long_path = path.as_os_str().len() > MAX_SOCKET_PATH_BYTES - FILE_NAME_BYTES;
         let descriptor = if long_path { Some(File::open(&path).map_err(failed)?) } else { None };
-        Ok(StateDirectory { path, descriptor, writing: Mutex::new(()) })
+        Ok(StateDirectory {
+            path,
+            descriptor,
+            writing: Mutex::new(()),
+            background_save_waits: Cell::new(false),
+        })
     }
 
     fn file(&self, name: &str) -> PathBuf {
@@ -130,6 +139,23 @@
         }
     }
 
+    /// Saves the maintenance state in the background after a change that was made in the other process. An
+    /// error is logged.
+    pub(super) fn save_in_background(self: &Rc<Self>, relay: &SharedRelay) {
+        if self.background_save_waits.replace(true) {
+            return;
+        }
+        let (directory, relay) = (self.clone(), relay.clone());
+        tokio::task::spawn_local(async move {
+            let writing = directory.writing.lock().await;
+            directory.background_save_waits.set(false);
+            if let Err(error) = directory.write_maintenance(&relay).await {
+                warn!(target: "hot_restart", %error, "maintenance state not saved");
+            }
+            drop(writing);
+        });
+    }
+
     /// Saves the current maintenance state.
     ///
     /// # Errors
@@ -137,6 +163,11 @@
     pub async fn save_maintenance(&self, relay: &SharedRelay) -> io::Result<()> {
         // Serializes the writes, so that the last one has the latest state.
         let _writing = self.writing.lock().await;
+        self.write_maintenance(relay).await
+    }
+
+    /// Writes the current maintenance state; the caller holds the lock `writing`.
+    async fn write_maintenance(&self, relay: &SharedRelay) -> io::Result<()> {
         let bytes = relay.borrow().maintenance_state().to_file_bytes();
         let new_file = self.file(&format!("{MAINTENANCE_FILE}-{}", std::process::id()));
         let file = self.file(MAINTENANCE_FILE);
--- a/src/relay/lifecycle/hot_restart/successor.rs
+++ b/src/relay/lifecycle/hot_restart/successor.rs
@@ -52,22 +52,26 @@
             timers.sleep(ANSWER_TIMEOUT).await;
             continue;
         };
-        let Some(channel) = receive_hello(stream).await else { continue };
+        let Some((channel, receives_changes)) = receive_hello(stream).await else { continue };
         if relay.borrow().listener_ownership.link.is_some() {
             let _ = channel.send(&HotRestartMessage::TakeoverInProgress, &[]).await;
             continue;
         }
-        let commands = relay.borrow_mut().open_link(RestartStage::Preparing);
+        let commands = relay.borrow_mut().open_link(RestartStage::Preparing, receives_changes);
         let (directory, listener) = (directory.clone(), listener.clone());
         tokio::task::spawn_local(hand_over(relay.clone(), directory, listener, channel, commands));
     }
 }
 
-/// Returns the channel to a process that requests the listening socket; `None` if it does not do so in time.
-async fn receive_hello(stream: UnixStream) -> Option<TakeoverChannel> {
+/// Returns the channel to a process that requests the listening socket, and whether it handles maintenance
+/// changes while it prepares; `None` if it does not send its request in time.
+async fn receive_hello(stream: UnixStream) -> Option<(TakeoverChannel, bool)> {
     let mut channel = TakeoverChannel::new(stream);
     let first = tokio::time::timeout(Duration::from_micros(ANSWER_TIMEOUT), channel.next()).await;
-    matches!(first, Ok(Some(HotRestartMessage::Hello))).then_some(channel)
+    match first {
+        Ok(Some(HotRestartMessage::Hello { receives_changes })) => Some((channel, receives_changes)),
+        _ => None,
+    }
 }
 
 async fn hand_over(
--- a/tests/compatibility/relay/hot_restart.rs
+++ b/tests/compatibility/relay/hot_restart.rs
@@ -50,7 +50,7 @@
 /// is added here; add a fixture for it, too.
 fn tag(message: &HotRestartMessage) -> &'static str {
     match message {
-        HotRestartMessage::Hello => "hello",
+        HotRestartMessage::Hello { .. } => "hello",
         HotRestartMessage::State { .. } => "state",
         HotRestartMessage::TakeoverInProgress => "busy",
         HotRestartMessage::TakeOver => "take",
@@ -66,11 +66,11 @@
 fn plain_messages() -> Vec<HotRestartMessage> {
     let maintenance = recorded_maintenance();
     vec![
-        HotRestartMessage::Hello,
+        HotRestartMessage::Hello { receives_changes: false },
         HotRestartMessage::State { maintenance: maintenance.clone(), draining: vec!["s-4".into()] },
         HotRestartMessage::TakeoverInProgress,
         HotRestartMessage::TakeOver,
-        HotRestartMessage::HandedOver { maintenance },
+        HotRestartMessage::HandedOver { maintenance, draining: Vec::new() },
         HotRestartMessage::DescriptorsInUse { descriptors: 77 },
         HotRestartMessage::SetMaintenance {
             id: "s-1".into(),
@@ -266,3 +266,47 @@
         assert_eq!(successor.next_line().await, recorded_line("done"));
     });
 }
+
+/// A successor of the previous version reads nothing while it prepares, so it must get no change before the
+/// handover, and commands at the predecessor must not wait for it.
+#[test]
+fn a_command_does_not_wait_for_a_preparing_successor_of_the_previous_version() {
+    run_case(async {
+        let scratch = ScratchDirectory::new("frozen-preparing");
+        let (relay, folder) = restarted_relay(&scratch).await;
+        let mut successor = PreviousVersion::connect(&folder).await;
+        successor.send_line(&recorded_line("hello")).await;
+        assert_eq!(successor.next_line().await, recorded_line("state"));
+        assert_eq!(relay.admin_command("maint-off s-1\n").await, "YES\n");
+        successor.send_line(&recorded_line("take")).await;
+        let handed_over = decode(&successor.next_line().await);
+        let HotRestartMessage::HandedOver { maintenance, draining } = handed_over else {
+            panic!("{handed_over:?}")
+        };
+        assert_eq!(maintenance.ongoing, recorded_maintenance().ongoing[1..]);
+        assert!(draining.is_empty(), "the previous version does not know this field");
+    });
+}
+
+/// A successor of this version announces that it handles changes while it prepares, and gets them at once.
+#[test]
+fn a_successor_that_announces_it_gets_changes_while_it_prepares_and_draining_endpoints_at_the_handover() {
+    run_case(async {
+        let scratch = ScratchDirectory::new("announced");
+        let (relay, folder) = restarted_relay(&scratch).await;
+        let mut successor = PreviousVersion::connect(&folder).await;
+        successor.send_line(r#"{"say":"hello","follows":true}"#).await;
+        assert_eq!(successor.next_line().await, recorded_line("state"));
+        let confirm = async {
+            let change = successor.next_line().await;
+            assert_eq!(change, r#"{"say":"hand","id":"s-1","out":false,"number":1}"#);
+            successor.send_line(r#"{"say":"done","number":1}"#).await;
+        };
+        let (answer, ()) = tokio::join!(relay.admin_command("maint-off s-1\n"), confirm);
+        assert_eq!(answer, "YES\n");
+        successor.send_line(&recorded_line("take")).await;
+        let handed_over = decode(&successor.next_line().await);
+        let HotRestartMessage::HandedOver { draining, .. } = handed_over else { panic!("{handed_over:?}") };
+        assert_eq!(draining, ["s-4"]);
+    });
+}
