Discovery: a service or an agent that answers slowly is heard in the end

Cause: timeouts followed from a deadline alone. Once it was over, each request got 0.6 to 1.4 s (an agent: half of the drain grace) for as long as none was answered, and none could be.

Evidence: the stand-in's record shows each answer, 1.7 s after its request, to a connection that the relay had closed.

Change: a deadline shortens a request only if it leaves time for an answer; timeouts at an agent grow after each one within the drain grace, and follow the response time once it is known; after 30 s without any answer a request in a while stays open for an eighth of that time. There is one request in flight at most, as before.

--- a/crates/discovery/src/backoff.rs
+++ b/crates/discovery/src/backoff.rs
@@ -39,10 +39,16 @@
 impl DiscoveryPoller {
     /// Records that the request in flight failed and schedules the next one.
     pub fn poll_failed(&mut self, now: Micros, error: DiscoveryErrorKind) {
-        let elapsed = self.in_flight.take().map_or(0, |in_flight| now.saturating_sub(in_flight.started_at));
+        let in_flight = self.in_flight.take();
+        let elapsed = in_flight.map_or(0, |in_flight| now.saturating_sub(in_flight.started_at));
         self.consecutive_failures = self.consecutive_failures.saturating_add(1);
-        let pause = match self.config.agent_watch_wait() {
-            Some(wait) => MIN_PAUSE.max(wait / 4),
+        if error == DiscoveryErrorKind::Timeout {
+            self.consecutive_timeouts = self.consecutive_timeouts.saturating_add(1);
+            let max_wait = in_flight.map_or(0, |in_flight| in_flight.request.max_wait());
+            self.agent_response_time.record_timeout(elapsed.saturating_sub(max_wait));
+        }
+        let pause = match self.config.agent_timing() {
+            Some(timing) => timing.failure_pause(),
             None if self.retries_immediately(error, elapsed) => self.draw_immediate_retry_pause(),
             None if self.validator.service_changed() => self.draw_service_change_backoff(),
             None => self.draw_backoff(error, elapsed),
--- a/crates/discovery/src/config.rs
+++ b/crates/discovery/src/config.rs
@@ -2,12 +2,10 @@
 
 use honeyknot_balancer::Micros;
 
+use crate::agent::AgentTiming;
+
 /// Number of relays that is assumed if the settings do not give one.
 const DEFAULT_FLEET_SIZE: u32 = 100;
-/// Minimum wait of a watch at a local agent, in microseconds.
-const MIN_AGENT_WATCH_WAIT: Micros = 20_000;
-/// Maximum wait of a watch at a local agent, in microseconds.
-const MAX_AGENT_WATCH_WAIT: Micros = 500_000;
 
 /// Settings of a [`DiscoveryPoller`](crate::DiscoveryPoller).
 #[derive(Clone, Copy, Debug)]
@@ -28,12 +26,9 @@
 }
 
 impl DiscoveryConfig {
-    /// Returns how long a watch at the local agent waits, in microseconds. The same time again is allowed for
-    /// the response. Returns `None` if the relay has no agent.
-    ///
-    /// The wait is a quarter of the drain grace, so that a watch that times out and the next one fit into it.
-    pub(crate) fn agent_watch_wait(&self) -> Option<Micros> {
-        self.agent_drain_grace.map(|grace| (grace / 4).clamp(MIN_AGENT_WATCH_WAIT, MAX_AGENT_WATCH_WAIT))
+    /// Returns the waits and pauses of requests to the local agent; `None` if the relay has no agent.
+    pub(crate) fn agent_timing(&self) -> Option<AgentTiming> {
+        self.agent_drain_grace.map(AgentTiming::new)
     }
 
     /// Returns the number of relays, or the default if it is unknown, as a factor for durations.
--- a/crates/discovery/src/lib.rs
+++ b/crates/discovery/src/lib.rs
@@ -13,6 +13,7 @@
 #![forbid(unsafe_code)]
 #![deny(unreachable_pub, missing_debug_implementations, clippy::wildcard_imports, clippy::too_many_lines)]
 
+mod agent;
 mod backoff;
 mod config;
 mod error;
@@ -23,6 +24,7 @@
 mod schedule;
 mod stale_list;
 mod state;
+mod unanswered;
 
 pub use config::DiscoveryConfig;
 pub use error::DiscoveryErrorKind;
--- a/crates/discovery/src/poller.rs
+++ b/crates/discovery/src/poller.rs
@@ -4,6 +4,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
+use crate::agent::AgentResponseTime;
 use crate::backoff::MAX_OVERLOAD_LEVEL;
 use crate::config::DiscoveryConfig;
 use crate::list_validation::{EndpointList, ListValidator};
@@ -13,6 +14,7 @@
 };
 use crate::stale_list::StaleListDetector;
 use crate::state::DiscoveryState;
+use crate::unanswered::UnansweredTime;
 
 /// Minimum pause after a request, in microseconds; well below the 200 ms within which a watch must be
 /// continued.
@@ -49,6 +51,12 @@
     pub(crate) lateness: Micros,
     /// Number of consecutive retries without backoff since a request timed out.
     pub(crate) immediate_retries: u32,
+    /// Number of requests that timed out since the last answer.
+    pub(crate) consecutive_timeouts: u32,
+    /// Time since the last answer.
+    pub(crate) unanswered: UnansweredTime,
+    /// Response time of the local agent; unused without one.
+    pub(crate) agent_response_time: AgentResponseTime,
     /// When another service was last configured; `None` if the service is still the first one.
     pub(crate) service_changed_at: Option<Micros>,
     /// Whether any request has been answered.
@@ -84,6 +92,9 @@
             consecutive_empty_responses: 0,
             lateness: initial_lateness(&config),
             immediate_retries: 0,
+            consecutive_timeouts: 0,
+            unanswered: UnansweredTime::new(now),
+            agent_response_time: AgentResponseTime::default(),
             service_changed_at: None,
             answered: false,
             stale_list: StaleListDetector::new(now),
@@ -135,6 +146,9 @@
         self.overload_level = 0;
         self.consecutive_empty_responses = 0;
         self.immediate_retries = 0;
+        self.consecutive_timeouts = 0;
+        self.unanswered = UnansweredTime::new(now);
+        self.agent_response_time = AgentResponseTime::default();
         self.validator.change_service();
         self.next_poll_at = Some(now + service_change_delay(&self.config, &mut self.rng));
     }
@@ -164,6 +178,8 @@
         let has_changes = !list.endpoints.is_empty() || list.version != self.validator.version();
         self.consecutive_failures = 0;
         self.immediate_retries = 0;
+        self.consecutive_timeouts = 0;
+        self.unanswered = UnansweredTime::new(now);
         self.answered = true;
         let timing = response_timing(in_flight, now, has_changes);
         self.consecutive_empty_responses = match timing.is_early_and_empty {
@@ -173,6 +189,7 @@
         // A change ends a watch early, so the time of the response says nothing about the service's load.
         if !has_changes || in_flight.request == DiscoveryRequest::FullList {
             self.lateness = timing.lateness.max(self.lateness / 4 * 3);
+            self.agent_response_time.record_response(timing.lateness);
         }
         self.next_poll_at = Some(now + self.draw_pause(timing.lateness, has_changes));
         let recheck_spread = (self.config.relay_count() * FULL_LIST_COST).min(MAX_FIRST_REQUEST_SPREAD);
@@ -196,8 +213,8 @@
         } else {
             self.overload_level = self.overload_level.saturating_sub(1);
         }
-        match self.config.agent_watch_wait() {
-            Some(wait) => pause.min(wait / 2),
+        match self.config.agent_timing() {
+            Some(timing) => pause.min(timing.max_pause()),
             None => pause,
         }
     }
--- a/crates/discovery/src/request.rs
+++ b/crates/discovery/src/request.rs
@@ -16,6 +16,16 @@
     },
 }
 
+impl DiscoveryRequest {
+    /// Returns how long the service may wait for a change before it responds, in microseconds.
+    pub(crate) fn max_wait(self) -> Micros {
+        match self {
+            DiscoveryRequest::FullList => 0,
+            DiscoveryRequest::Watch { max_wait, .. } => max_wait,
+        }
+    }
+}
+
 /// A request that is due now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Poll {
--- a/crates/discovery/src/schedule.rs
+++ b/crates/discovery/src/schedule.rs
@@ -44,9 +44,9 @@
 pub(crate) const MAX_SECOND_REQUEST_TIME: Micros = 1_400_000;
 /// Lateness of responses that is assumed at the start for each relay of the fleet, in microseconds.
 const INITIAL_LATENESS_PER_RELAY: Micros = 5_000;
-/// Minimum timeout of a request to a new service, before the time for a second request is subtracted, in
-/// microseconds.
-const MIN_SERVICE_CHANGE_TIMEOUT: Micros = 2_000_000;
+/// Minimum timeout of a request to a new service that leaves time for a second request before the deadline, in
+/// microseconds. If less is left, the request may take as long as any other.
+const MIN_SERVICE_CHANGE_TIMEOUT: Micros = MAX_SECOND_REQUEST_TIME;
 
 /// Spread of first requests to a new service for each relay of the fleet, in microseconds.
 const SERVICE_CHANGE_SPREAD_PER_RELAY: Micros = 4_000;
@@ -90,28 +90,36 @@
     /// A second request must still be answered before the changes that the first one missed count as
     /// notified. The later responses have been, the less time is left for the second request, so that slow
     /// responses are not cut off.
-    pub(crate) fn request_timeout(&self, now: Micros, request: DiscoveryRequest) -> Micros {
-        if let Some(wait) = self.config.agent_watch_wait() {
-            let answer_time =
-                if let DiscoveryRequest::Watch { max_wait, .. } = request { max_wait } else { wait };
-            return wait + answer_time;
-        }
-        let deadline = match self.service_changed_at.filter(|_| self.validator.service_changed()) {
-            Some(changed_at) => (changed_at + DEADLINE_AFTER_SERVICE_CHANGE)
-                .saturating_sub(now)
-                .max(MIN_SERVICE_CHANGE_TIMEOUT),
-            None => deadline_after(request),
+    /// After a service change that deadline is earlier. It shortens only requests that are left enough time for
+    /// an answer: a deadline that is over, or that only one request can meet, must not cut off the answer.
+    pub(crate) fn request_timeout(&mut self, now: Micros, request: DiscoveryRequest) -> Micros {
+        let timeout = match self.config.agent_timing() {
+            Some(timing) => self.agent_response_time.timeout(timing, request.max_wait()),
+            None => self.service_timeout(now, request),
+        };
+        let long_timeout = match self.consecutive_timeouts {
+            0 => None,
+            _ => self.unanswered.long_timeout(now),
         };
+        timeout.max(long_timeout.unwrap_or(0))
+    }
+
+    fn service_timeout(&self, now: Micros, request: DiscoveryRequest) -> Micros {
         let second_request_time =
             MAX_SECOND_REQUEST_TIME.saturating_sub(self.lateness).max(MIN_SECOND_REQUEST_TIME);
-        deadline.saturating_sub(second_request_time)
+        let changed_at = self.service_changed_at.filter(|_| self.validator.service_changed());
+        let until_deadline = changed_at
+            .map(|at| (at + DEADLINE_AFTER_SERVICE_CHANGE).saturating_sub(now + second_request_time));
+        until_deadline
+            .filter(|timeout| *timeout >= MIN_SERVICE_CHANGE_TIMEOUT)
+            .unwrap_or(deadline_after(request) - second_request_time)
     }
 
     /// Draws how long a watch waits, in microseconds. The jitter keeps the watches of the fleet from
     /// synchronizing.
     pub(crate) fn draw_watch_wait(&mut self, now: Micros) -> Micros {
-        if let Some(wait) = self.config.agent_watch_wait() {
-            return wait;
+        if let Some(timing) = self.config.agent_timing() {
+            return self.agent_response_time.watch_wait(timing);
         }
         let relays = self.config.relay_count();
         let is_first = !self.answered && self.immediate_retries == 0 && !self.config.is_single_relay();
