Discovery: a backoff leaves time for what the rejected request missed

Cause: the maximum backoff counted the 6 s deadline from the failure, though the request had missed every change since its start, up to 2 s before.

Evidence: the new test, 100,000 drawn services, fails without the fix (seed 138: 0.01 s late, 4 relays) and passes with it.

Change: the maximum backoff after a rejected or broken request is what the deadline leaves after the time that it took and as long again, but never under 20 ms for each relay, so that large fleets wait as long as before.

--- a/crates/discovery/src/backoff.rs
+++ b/crates/discovery/src/backoff.rs
@@ -4,7 +4,7 @@
 use rand::Rng;
 
 use crate::error::DiscoveryErrorKind;
-use crate::notification_deadline::MAX_PAUSE;
+use crate::notification_deadline::{MAX_PAUSE, NOTIFICATION_DEADLINE};
 use crate::poller::{DiscoveryPoller, MIN_PAUSE};
 use crate::schedule::{FULL_LIST_COST, MAX_SECOND_REQUEST_TIME};
 
@@ -50,7 +50,7 @@
         let pause = match self.config.agent_timing() {
             Some(timing) => timing.failure_pause(),
             None if self.retries_immediately(error, elapsed) => self.draw_immediate_retry_pause(),
-            None if self.validator.service_changed() => self.draw_service_change_backoff(),
+            None if self.validator.service_changed() => self.draw_service_change_backoff(error, elapsed),
             None => self.draw_backoff(error, elapsed),
         };
         self.next_poll_at = Some(now + pause);
@@ -85,9 +85,22 @@
         MIN_PAUSE + self.rng.random_range(0..=spread.min(MAX_IMMEDIATE_RETRY_SPREAD))
     }
 
-    fn draw_service_change_backoff(&mut self) -> Micros {
+    fn draw_service_change_backoff(&mut self, error: DiscoveryErrorKind, elapsed: Micros) -> Micros {
         let mean = SERVICE_CHANGE_BACKOFF << self.doublings();
-        self.rng.random_range(mean / 2..=mean / 2 * 3)
+        let limit = self.max_backoff_after(error, elapsed);
+        self.draw_limited(mean, limit)
+    }
+
+    /// Draws a backoff with a mean and a limit. Backoffs at the limit are spread below it.
+    fn draw_limited(&mut self, mean: Micros, limit: Micros) -> Micros {
+        let range = if mean / 2 * 3 <= limit {
+            mean / 2..=mean / 2 * 3
+        } else if limit > MAX_PAUSE {
+            limit / 3..=limit
+        } else {
+            limit / 4 * 3..=limit
+        };
+        self.rng.random_range(range)
     }
 
     fn doublings(&self) -> u32 {
@@ -96,25 +109,38 @@
 
     fn draw_backoff(&mut self, error: DiscoveryErrorKind, elapsed: Micros) -> Micros {
         let fleet_backoff = self.fleet_backoff(error, elapsed);
+        let max_backoff = self.max_backoff_after(error, elapsed);
         let retry_after = match error {
-            DiscoveryErrorKind::Overloaded { retry_after } => retry_after.unwrap_or(0).min(MAX_RETRY_AFTER),
+            DiscoveryErrorKind::Overloaded { retry_after } => {
+                retry_after.unwrap_or(0).min(MAX_RETRY_AFTER).min(max_backoff / 2)
+            }
             _ => 0,
         };
-        let limit = match error {
-            // The service was reached, so a change lost with the invalid response counts as notified soon.
-            DiscoveryErrorKind::InvalidResponse => MAX_PAUSE / 2,
-            _ => self.max_backoff() - retry_after,
-        };
         let min_mean = if self.config.is_single_relay() { 0 } else { fleet_backoff };
         let mean = (INITIAL_BACKOFF << self.doublings()).max(min_mean);
-        let range = if mean / 2 * 3 <= limit {
-            mean / 2..=mean / 2 * 3
-        } else if limit > MAX_PAUSE {
-            limit / 3..=limit
-        } else {
-            limit / 4 * 3..=limit
-        };
-        retry_after + self.rng.random_range(range)
+        retry_after + self.draw_limited(mean, max_backoff - retry_after)
+    }
+
+    /// Returns the maximum backoff after a request that failed after `elapsed`, in microseconds.
+    ///
+    /// A request that the service kept waiting and then rejected has missed every change since its start, and the
+    /// next one may take as long to be answered. Both count towards the notification deadline, unless the fleet
+    /// is so large that the service could not answer all relays within the rest of it.
+    fn max_backoff_after(&self, error: DiscoveryErrorKind, elapsed: Micros) -> Micros {
+        let max_backoff = self.max_backoff();
+        match error {
+            // The service was reached, so a change lost with the invalid response counts as notified soon.
+            DiscoveryErrorKind::InvalidResponse => MAX_PAUSE / 2,
+            DiscoveryErrorKind::Overloaded { .. } | DiscoveryErrorKind::ConnectionBroken
+                if !self.validator.is_empty() =>
+            {
+                let response_time = elapsed.max(MAX_SECOND_REQUEST_TIME);
+                let rest = NOTIFICATION_DEADLINE.saturating_sub(elapsed + response_time);
+                let min_backoff = (self.config.relay_count() * FULL_LIST_COST).max(INITIAL_BACKOFF);
+                rest.max(min_backoff).min(max_backoff)
+            }
+            _ => max_backoff,
+        }
     }
 
     /// Returns the minimum mean backoff, in microseconds, that bounds the whole fleet's load on the service.
--- a/crates/discovery/tests/slow_service.rs
+++ b/crates/discovery/tests/slow_service.rs
@@ -15,6 +15,9 @@
 const MS: Micros = 1_000;
 /// Time from a change to when it counts as notified, in microseconds.
 const NOTIFICATION_DEADLINE: Micros = 6 * S;
+/// Shortest time for which requests may still be sent to an endpoint after the notification of its drain,
+/// including 50 ms for delays of the sockets; in microseconds.
+const GRACE: Micros = 300 * MS + 50 * MS;
 /// Longest time after which a service rejects a request that waited for its turn, in microseconds.
 const MAX_QUEUE_TIME: Micros = 2 * S;
 /// Response time for which a pause always leaves time before the deadline, in microseconds.
@@ -43,10 +46,11 @@
     length: Micros,
 }
 
-/// When the relay received the change.
+/// When the relay received the change, and when the last request that failed at the service began.
 #[derive(Debug)]
 struct Outcome {
     received_at: Option<Micros>,
+    last_failure_from: Micros,
 }
 
 /// How a request ends, if it is not abandoned before.
@@ -84,7 +88,7 @@
 
     fn run(&self) -> Outcome {
         let mut poller = DiscoveryPoller::new(self.config, &endpoint_list(1, true, &["s-1"]), 0);
-        let mut outcome = Outcome { received_at: None };
+        let mut outcome = Outcome { received_at: None, last_failure_from: 0 };
         let (mut now, mut failed) = (0, 0);
         let mut service_change = self.service_change;
         while now < self.length && outcome.received_at.is_none() {
@@ -96,7 +100,11 @@
             }
             now = due;
             let Poll { request, timeout } = poller.start_poll(now);
+            let failed_before = failed;
             let response = self.respond(now, request, &mut failed);
+            if failed > failed_before {
+                outcome.last_failure_from = now;
+            }
             let ended = response.at.min(now + timeout);
             if let Some(at) = service_change.take_if(|at| *at <= ended) {
                 now = at;
@@ -181,6 +189,25 @@
     }
 }
 
+/// Guards against a crowded service that is heard late or never after a start, a reload, a hot restart, or
+/// requests that failed.
+#[test]
+fn change_at_a_crowded_service_is_heard_before_the_deadline() {
+    for seed in 0..100_000 {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let fleet_size = [1, 4, 12, 30][rng.random_range(0..4)];
+        let scenario = draw_scenario(pull_config(fleet_size, seed), &mut rng);
+        let outcome = scenario.run();
+        // While requests fail at the service it cannot be reached: the deadline begins with the last of them.
+        let from = scenario.change.max(outcome.last_failure_from);
+        let deadline = from + NOTIFICATION_DEADLINE + GRACE;
+        assert!(
+            outcome.received_at.is_some_and(|at| at <= deadline),
+            "{outcome:?}, but the deadline is at {deadline} us: {scenario:?}"
+        );
+    }
+}
+
 /// Guards against requests that are abandoned too early for ever at a service that needs longer than any
 /// deadline allows.
 #[test]
