--- a/tests/hot_restart.rs
+++ b/tests/hot_restart.rs
@@ -7,12 +7,17 @@
 
 use std::fs;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
+use std::thread::sleep;
+use std::time::Duration;
 
 use honeyknot_relay::relay::lifecycle::hot_restart::{
     EndedMaintenance, MaintenanceState, OngoingMaintenance,
 };
-use hot_restart::{Load, RelaySetup, admin_command, open_connection, send_signal, stat, wait_until};
+use hot_restart::{
+    Load, RelaySetup, admin_command, endpoint_list, open_connection, send_signal, start_endpoint, stat,
+    wait_until,
+};
 use process::{Relay, relay_command, unused_address};
 
 #[test]
@@ -81,6 +86,47 @@
     assert_eq!(third.child.wait().expect("the process ends").code(), Some(0));
 }
 
+/// Starts a discovery that reports the drain of `s-1` to the first watch after `drain_after`, and answers nothing
+/// else.
+fn start_discovery_that_reports_a_drain(endpoint: SocketAddr, drain_after: Duration) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("the listener has an address");
+    let body = format!(
+        r#"{{"version":4,"full":false,"servers":[{{"id":"s-1","addr":"{endpoint}","state":"leaving","weight":1}}]}}"#
+    );
+    std::thread::spawn(move || {
+        let mut unanswered = Vec::new();
+        for stream in listener.incoming().flatten() {
+            let mut request_line = String::new();
+            let read = BufReader::new(&stream).read_line(&mut request_line);
+            if read.is_ok() && request_line.contains("index=3&") {
+                sleep(drain_after);
+                let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+                (&stream).write_all(answer.as_bytes()).expect("the answer is sent");
+            }
+            unanswered.push(stream);
+        }
+    });
+    address
+}
+
+/// Guards against a successor that discovery does not answer and that sends to an endpoint of which its
+/// predecessor has heard, while the successor prepared, that it drains.
+#[test]
+fn a_drain_that_the_predecessor_hears_of_while_its_successor_prepares_comes_with_the_handover() {
+    let addresses = [start_endpoint("r-1"), start_endpoint("r-2"), start_endpoint("r-3")];
+    let discovery = start_discovery_that_reports_a_drain(addresses[0], Duration::from_millis(1_500));
+    let setup = RelaySetup::with_discovery("drain", &endpoint_list(addresses), discovery);
+    let (_predecessor, _) = setup.start("old.log");
+    let (successor, _) = setup.start("new.log");
+    let log = fs::read_to_string(&successor.log).expect("the log is readable");
+    assert!(log.contains("took over") && !log.contains("responds"), "{log}");
+    for _ in 0..30 {
+        let (answer, _connection) = open_connection(setup.clients).expect("the connection is answered");
+        assert!(answer.starts_with("UP") && !answer.contains("r-1"), "{answer}");
+    }
+}
+
 #[test]
 fn the_predecessor_continues_to_serve_when_its_successor_is_killed() {
     let setup = RelaySetup::new("dies");
--- a/tests/support/hot_restart.rs
+++ b/tests/support/hot_restart.rs
@@ -15,8 +15,9 @@
 
 use super::process::{Relay, ScratchDirectory, relay_command, unused_address};
 
-/// Starts an endpoint that accepts every connection and answers requests, health checks and other lines.
-fn start_endpoint() -> SocketAddr {
+/// Starts an endpoint that accepts every connection and answers requests with this receipt, health checks and
+/// other lines.
+pub fn start_endpoint(receipt: &'static str) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let address = listener.local_addr().expect("the listener has an address");
     std::thread::spawn(move || {
@@ -25,9 +26,9 @@
                 let mut writer = stream.try_clone().expect("the socket is cloned");
                 for line in BufReader::new(stream).lines().map_while(Result::ok) {
                     let answer = match line.split(' ').next() {
-                        Some("OPEN") => "UP r-1\r\n",
-                        Some("STATS") => "PONG util=0.1,latency_ms=3,x0=0.1\r\n",
-                        _ => "OK\r\n",
+                        Some("OPEN") => format!("UP {receipt}\r\n"),
+                        Some("STATS") => "PONG util=0.1,latency_ms=3,x0=0.1\r\n".to_owned(),
+                        _ => "OK\r\n".to_owned(),
                     };
                     if writer.write_all(answer.as_bytes()).is_err() {
                         return;
@@ -69,6 +70,14 @@
     address
 }
 
+/// Returns an endpoint list with the endpoints `s-1`, `s-2` and `s-3` at these addresses.
+pub fn endpoint_list(addresses: [SocketAddr; 3]) -> Value {
+    // The weights are high enough for the load of every test.
+    let endpoint = |(id, address): (&str, SocketAddr)| json!({"id": id, "addr": address.to_string(), "state": "active", "weight": 1e5});
+    let endpoints: Vec<Value> = ["s-1", "s-2", "s-3"].into_iter().zip(addresses).map(endpoint).collect();
+    json!({"version": 3, "full": true, "servers": endpoints})
+}
+
 /// What the processes of one relay share: their directory, client address and configuration file.
 pub struct RelaySetup {
     pub folder: ScratchDirectory,
@@ -84,14 +93,16 @@
     /// Creates a setup whose discovery takes this long for the full list, which a successor waits for before it
     /// takes over.
     pub fn with_discovery_delay(name: &str, delay: Duration) -> RelaySetup {
-        let (folder, clients, address) = (ScratchDirectory::new(name), unused_address(), start_endpoint());
-        // The weights are high enough for the load of every test.
-        let endpoints: Vec<Value> = ["s-1", "s-2", "s-3"]
-            .map(|id| json!({"id": id, "addr": address.to_string(), "state": "active", "weight": 1e5}))
-            .to_vec();
-        let endpoint_list = json!({"version": 3, "full": true, "servers": endpoints});
+        let endpoint_list = endpoint_list([start_endpoint("r-1"); 3]);
+        let discovery = start_discovery(endpoint_list.clone(), delay);
+        RelaySetup::with_discovery(name, &endpoint_list, discovery)
+    }
+
+    /// Creates a setup whose processes know this endpoint list and use the discovery at this address.
+    pub fn with_discovery(name: &str, endpoint_list: &Value, discovery: SocketAddr) -> RelaySetup {
+        let (folder, clients) = (ScratchDirectory::new(name), unused_address());
         let config = json!({
-            "name": "n0", "listen": clients.to_string(), "discovery": start_discovery(endpoint_list.clone(), delay).to_string(),
+            "name": "n0", "listen": clients.to_string(), "discovery": discovery.to_string(),
             "seed": "1f", "limits": {"sockets": 384}, "known": endpoint_list,
             "settings": {
                 "family": "conn", "discovery": "on_request", "telemetry": {"source": "pull"},
