Discovery: refused connections abandon unanswered watches ever more rarely

Callers would see: while endpoints refuse connections, a service that needs some seconds for an answer is never heard.

Cause: refused connections abandon a watch of more than a second every 5 s, whether or not any request was answered in between. Each new watch then has less time than the service needs.

Change: the interval between two such abandonments doubles until a request is answered, and the rare long request asks for the full list, so that all of its time is left for the answer.

--- a/crates/discovery/src/poller.rs
+++ b/crates/discovery/src/poller.rs
@@ -156,7 +156,14 @@
     /// Starts the request that is due. It is in flight until [`poll_succeeded`](Self::poll_succeeded) or
     /// [`poll_failed`](Self::poll_failed) is called.
     pub fn start_poll(&mut self, now: Micros) -> Poll {
-        let full = std::mem::take(&mut self.full_list_requested) || self.validator.needs_full_list(now);
+        let long_timeout = match self.consecutive_timeouts {
+            0 => None,
+            _ => self.unanswered.long_timeout(now),
+        };
+        // A long request has no wait, so that all of its time is left for the answer.
+        let full = std::mem::take(&mut self.full_list_requested)
+            || self.validator.needs_full_list(now)
+            || long_timeout.is_some();
         let request = match full {
             true => DiscoveryRequest::FullList,
             false => DiscoveryRequest::Watch {
@@ -166,7 +173,7 @@
         };
         self.next_poll_at = None;
         self.in_flight = Some(InFlightRequest { request, started_at: now });
-        Poll { request, timeout: self.request_timeout(now, request) }
+        Poll { request, timeout: self.request_timeout(now, request).max(long_timeout.unwrap_or(0)) }
     }
 
     /// Handles the response to the request in flight and returns the accepted part of its list.
@@ -180,6 +187,7 @@
         self.immediate_retries = 0;
         self.consecutive_timeouts = 0;
         self.unanswered = UnansweredTime::new(now);
+        self.stale_list.record_answer();
         self.answered = true;
         let timing = response_timing(in_flight, now, has_changes);
         self.consecutive_empty_responses = match timing.is_early_and_empty {
--- a/crates/discovery/src/schedule.rs
+++ b/crates/discovery/src/schedule.rs
@@ -92,16 +92,11 @@
     /// responses are not cut off.
     /// After a service change that deadline is earlier. It shortens only requests that are left enough time for
     /// an answer: a deadline that is over, or that only one request can meet, must not cut off the answer.
-    pub(crate) fn request_timeout(&mut self, now: Micros, request: DiscoveryRequest) -> Micros {
-        let timeout = match self.config.agent_timing() {
+    pub(crate) fn request_timeout(&self, now: Micros, request: DiscoveryRequest) -> Micros {
+        match self.config.agent_timing() {
             Some(timing) => self.agent_response_time.timeout(timing, request.max_wait()),
             None => self.service_timeout(now, request),
-        };
-        let long_timeout = match self.consecutive_timeouts {
-            0 => None,
-            _ => self.unanswered.long_timeout(now),
-        };
-        timeout.max(long_timeout.unwrap_or(0))
+        }
     }
 
     fn service_timeout(&self, now: Micros, request: DiscoveryRequest) -> Micros {
--- a/crates/discovery/src/stale_list.rs
+++ b/crates/discovery/src/stale_list.rs
@@ -10,8 +10,11 @@
 const REFUSAL_WINDOW: Micros = 2_000_000;
 /// Minimum age of a watch that is abandoned, in microseconds.
 const MIN_WATCH_AGE: Micros = 1_000_000;
-/// Minimum time between the abandonment of two watches, in microseconds.
+/// Minimum time between the abandonment of two watches, in microseconds. It doubles with each watch that is
+/// abandoned before a request has been answered, so that a slow service is heard in the end.
 const MIN_ABANDON_INTERVAL: Micros = 5_000_000;
+/// Maximum number of doublings of [`MIN_ABANDON_INTERVAL`].
+const MAX_DOUBLINGS: u32 = 4;
 
 /// Counts refused connections and decides whether the watch in flight is abandoned.
 #[derive(Debug)]
@@ -20,11 +23,13 @@
     window_started_at: Micros,
     /// When a watch was last abandoned; `None` if none has been.
     abandoned_at: Option<Micros>,
+    /// Number of watches abandoned since the last answer.
+    abandoned_unanswered: u32,
 }
 
 impl StaleListDetector {
     pub(crate) fn new(now: Micros) -> StaleListDetector {
-        StaleListDetector { refusals: 0, window_started_at: now, abandoned_at: None }
+        StaleListDetector { refusals: 0, window_started_at: now, abandoned_at: None, abandoned_unanswered: 0 }
     }
 
     /// Counts a refused connection and returns whether the request in flight must be abandoned.
@@ -35,15 +40,22 @@
         self.refusals += 1;
         let is_old_watch = matches!(in_flight.request, DiscoveryRequest::Watch { .. })
             && now >= in_flight.started_at + MIN_WATCH_AGE;
-        let may_abandon = self.abandoned_at.is_none_or(|at| now >= at + MIN_ABANDON_INTERVAL);
+        let interval = MIN_ABANDON_INTERVAL << self.abandoned_unanswered.saturating_sub(1).min(MAX_DOUBLINGS);
+        let may_abandon = self.abandoned_at.is_none_or(|at| now >= at + interval);
         let stale = is_old_watch && may_abandon && self.refusals >= MIN_REFUSALS;
         if stale {
             self.restart_window(now);
             self.abandoned_at = Some(now);
+            self.abandoned_unanswered = self.abandoned_unanswered.saturating_add(1);
         }
         stale
     }
 
+    /// Records that the service has answered a request.
+    pub(crate) fn record_answer(&mut self) {
+        self.abandoned_unanswered = 0;
+    }
+
     fn restart_window(&mut self, now: Micros) {
         self.refusals = 0;
         self.window_started_at = now;
--- a/crates/discovery/tests/slow_service.rs
+++ b/crates/discovery/tests/slow_service.rs
@@ -22,6 +22,8 @@
 const MAX_QUEUE_TIME: Micros = 2 * S;
 /// Response time for which a pause always leaves time before the deadline, in microseconds.
 const MIN_RESPONSE_TIME: Micros = 1_400 * MS;
+/// Interval at which endpoints refuse connections, in microseconds.
+const REFUSAL_INTERVAL: Micros = 500 * MS;
 /// Response time of the service while no other callers crowd it, in microseconds.
 const QUICK_TURN: Micros = 2 * MS;
 
@@ -43,6 +45,8 @@
     /// Time that a watch without a change waits for another turn after its wait, in microseconds.
     turn_after_wait: Micros,
     change: Micros,
+    /// Whether endpoints refuse connections all the time that the service is crowded.
+    endpoints_refuse: bool,
     length: Micros,
 }
 
@@ -86,6 +90,14 @@
         Response { at, result: Ok(()) }
     }
 
+    /// Returns when refused connections end the request in flight, if they do so before `until`.
+    fn refused_at(&self, poller: &mut DiscoveryPoller, from: Micros, until: Micros) -> Option<Micros> {
+        let first = from.next_multiple_of(REFUSAL_INTERVAL);
+        let refusals = (first..until).step_by(REFUSAL_INTERVAL as usize);
+        let mut refusals = refusals.filter(|at| self.endpoints_refuse && self.is_crowded(*at));
+        refusals.find(|at| poller.connection_refused(*at))
+    }
+
     fn run(&self) -> Outcome {
         let mut poller = DiscoveryPoller::new(self.config, &endpoint_list(1, true, &["s-1"]), 0);
         let mut outcome = Outcome { received_at: None, last_failure_from: 0 };
@@ -111,8 +123,9 @@
                 poller.change_service(now);
                 continue;
             }
-            let is_abandoned = response.at > now + timeout;
-            now = ended;
+            let refused_at = self.refused_at(&mut poller, now, ended);
+            let is_abandoned = response.at > now + timeout || refused_at.is_some();
+            now = refused_at.unwrap_or(ended);
             match response.result {
                 _ if is_abandoned => poller.poll_failed(now, DiscoveryErrorKind::Timeout),
                 Err(error) => poller.poll_failed(now, error),
@@ -160,6 +173,7 @@
         turn,
         turn_after_wait: if rng.random() { turn } else { 0 },
         change: crowded_from + rng.random_range(0..100 * S),
+        endpoints_refuse: false,
         length: 200 * S,
     }
 }
@@ -179,6 +193,7 @@
             turn: 1_700 * MS,
             turn_after_wait: 0,
             change: 15 * S,
+            endpoints_refuse: false,
             length: 40 * S,
         };
         let received_at = scenario.run().received_at;
@@ -209,14 +224,15 @@
 }
 
 /// Guards against requests that are abandoned too early for ever at a service that needs longer than any
-/// deadline allows.
+/// deadline allows, by their timeout or because endpoints refuse connections.
 #[test]
 fn service_that_answers_later_than_any_deadline_is_heard_in_the_end() {
     for seed in 0..2_000 {
         let mut rng = Pcg64Mcg::seed_from_u64(seed);
         let fleet_size = [1, 4, 30, 300][rng.random_range(0..4)];
         let drawn = draw_scenario(pull_config(fleet_size, seed), &mut rng);
-        let scenario = Scenario { turn: rng.random_range(2 * S..20 * S), length: 1_200 * S, ..drawn };
+        let turn = rng.random_range(2 * S..20 * S);
+        let scenario = Scenario { turn, endpoints_refuse: rng.random(), length: 1_200 * S, ..drawn };
         assert!(scenario.run().received_at.is_some(), "never heard: {scenario:?}");
     }
 }
@@ -240,6 +256,7 @@
             turn_after_wait: 0,
             // The relay has had some requests in which to learn the response time.
             change: crowded_from + 5 * drain_grace + rng.random_range(0..20 * S),
+            endpoints_refuse: false,
             length: 60 * S,
         };
         let received_at = scenario.run().received_at;
