--- a/crates/discovery/src/lib.rs
+++ b/crates/discovery/src/lib.rs
@@ -6,6 +6,9 @@
 //! poller schedules ([`DiscoveryPoller::next_poll_at`], [`DiscoveryPoller::start_poll`]). All random numbers
 //! come from the configured seed.
 //!
+//! A service that answers is heard in the end: no deadline, pause or sign of a stale list may keep cutting off
+//! requests for as long as none has been answered.
+//!
 //! A relay has at most one request in flight and uses a few words of memory for each listed endpoint. Relays
 //! share no state. The spread of first requests, the jitter of watches and the backoff bound the load of the
 //! whole fleet on the service.
--- a/crates/discovery/src/schedule.rs
+++ b/crates/discovery/src/schedule.rs
@@ -90,6 +90,7 @@
     /// A second request must still be answered before the changes that the first one missed count as
     /// notified. The later responses have been, the less time is left for the second request, so that slow
     /// responses are not cut off.
+    ///
     /// After a service change that deadline is earlier. It shortens only requests that are left enough time for
     /// an answer: a deadline that is over, or that only one request can meet, must not cut off the answer.
     pub(crate) fn request_timeout(&self, now: Micros, request: DiscoveryRequest) -> Micros {
--- a/src/relay/lifecycle/hot_restart/mod.rs
+++ b/src/relay/lifecycle/hot_restart/mod.rs
@@ -3,8 +3,11 @@
 //!
 //! The running process listens on a Unix socket in a [`StateDirectory`], which only its user may enter. A
 //! successor connects there, receives the listening socket, prepares, and takes over: the predecessor stops
-//! accepting clients before the successor starts to. The link between the two then stays open, so that each
-//! notices when the other ends, and a maintenance change made at one takes effect in both.
+//! accepting clients before the successor starts to. The link between the two is open from the start until one of
+//! them ends, so that each notices when the other ends, and a maintenance change made at one takes effect in both.
+//!
+//! At any stage, a maintenance change that has been confirmed to an operator is in effect in both processes until
+//! the opposite change is made in either of them.
 
 mod error;
 mod link;
