Discovery: a single timeout at an agent does not shorten its watches

Cause: twice the time of a request that timed out lay just above the threshold of two waits, by the timer's delay.

It passes with the threshold between the first timeout (two waits) and the second (four), as do the drawn services and agents.

--- a/crates/discovery/src/agent.rs
+++ b/crates/discovery/src/agent.rs
@@ -14,6 +14,9 @@
 const MIN_WATCH_WAIT: Micros = 20_000;
 /// Maximum wait of a watch, in microseconds.
 const MAX_WATCH_WAIT: Micros = 500_000;
+/// An agent is slow if its requests are given more than this many waits for the response. The first timeout of a
+/// request leads to two waits, the second one to four.
+const SLOW_AGENT_WAITS: Micros = 3;
 /// Maximum response time that is given because earlier responses needed it, in microseconds.
 const MAX_OBSERVED_TIME: Micros = 20_000_000;
 
@@ -74,10 +77,11 @@
         self.suspected = 2 * time;
     }
 
-    /// Returns how long the next watch waits, in microseconds. A slow agent needs the time for its response.
+    /// Returns how long the next watch waits, in microseconds. A slow agent needs the time for its response. A
+    /// single timeout does not show that the agent is slow.
     pub(crate) fn watch_wait(&self, timing: AgentTiming) -> Micros {
         let wait = timing.watch_wait();
-        if self.observed.max(self.suspected) > 2 * wait { MIN_WATCH_WAIT } else { wait }
+        if self.observed.max(self.suspected) > SLOW_AGENT_WAITS * wait { MIN_WATCH_WAIT } else { wait }
     }
 
     /// Returns the timeout of a request with this wait (0 for the full list), in microseconds.
