--- a/review/standin-2/case_reloads.rs
+++ b/review/standin-2/case_reloads.rs
@@ -58,6 +58,7 @@
             // The change is known to discovery alone, and the old address closes without telling of it.
             sleep_ms(20);
             discovery.set("s0", servers[0].address, "leaving", 0);
+            servers[0].drains.store(true, Ordering::SeqCst);
         }
         let next_at = hup_at + (number as u64 + 1) * RELOAD_EVERY_MS;
         sleep_ms(next_at.saturating_sub(record.now()));
--- a/review/standin-2/common.rs
+++ b/review/standin-2/common.rs
@@ -517,6 +517,8 @@
     /// Number of connections on which it hangs after half a line.
     pub halves: Arc<AtomicU64>,
     pub open: Arc<AtomicU64>,
+    /// It drains: it sends its clients away at once, and turns new ones away.
+    pub drains: Arc<AtomicBool>,
     open_ids: Arc<Mutex<BTreeSet<String>>>,
 }
 
@@ -532,6 +534,7 @@
             hangs: Arc::default(),
             halves: Arc::default(),
             open: Arc::default(),
+            drains: Arc::default(),
             open_ids: Arc::default(),
         };
         let acceptor = server.clone();
@@ -546,10 +549,19 @@
 
     fn serve(&self, mut stream: TcpStream) {
         let _ = stream.set_nodelay(true);
+        let _ = stream.set_read_timeout(Some(Duration::from_millis(50)));
         let mut lines = Lines::new();
         let mut session: Option<String> = None;
         loop {
             let Some((line, first_byte_at)) = lines.next(&mut stream, &self.record) else { break };
+            if line.is_empty() {
+                // Nothing was received for a moment.
+                if session.is_some() && self.drains.load(Ordering::SeqCst) {
+                    let _ = stream.write_all(b"MOVE\r\n");
+                    break;
+                }
+                continue;
+            }
             while self.hangs.load(Ordering::SeqCst) && session.is_none() {
                 sleep_ms(10);
             }
@@ -565,6 +577,14 @@
                     let _ = stream.write_all(b"ERR\r\n");
                     break;
                 }
+                ["OPEN", id, _, _] if session.is_none() && self.drains.load(Ordering::SeqCst) => {
+                    self.record.line(&format!("server {}: turns {id} away", self.id));
+                    let received = Received { server: self.id.clone(), id: id.to_owned(), at: first_byte_at };
+                    self.received.lock().unwrap().push(received);
+                    self.open_ids.lock().unwrap().remove(id);
+                    let _ = stream.write_all(b"BUSY\r\n");
+                    break;
+                }
                 ["OPEN", id, _, _] if session.is_none() => {
                     session = Some(id.to_owned());
                     self.open.fetch_add(1, Ordering::SeqCst);
@@ -620,7 +640,8 @@
         Lines { buffer: Vec::new(), first_byte_at: 0 }
     }
 
-    /// Returns the next line without its CRLF and when its first byte was read.
+    /// Returns the next line without its CRLF and when its first byte was read; an empty line if the socket has a
+    /// read timeout that passed with nothing received.
     pub fn next(&mut self, stream: &mut TcpStream, record: &Record) -> Option<(String, Ms)> {
         let mut chunk = [0; 4096];
         loop {
@@ -635,6 +656,10 @@
                     }
                     self.buffer.extend_from_slice(&chunk[..n]);
                 }
+                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock && self.buffer.is_empty() => {
+                    return Some((String::new(), 0));
+                }
+                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {}
                 _ => return None,
             }
         }
