--- a/review/standin-2/common.rs
+++ b/review/standin-2/common.rs
@@ -278,6 +278,9 @@
 
 // -------------------------------------------------------------------------------------------------- discovery
 
+/// A call that has waited so long for its turn ends with 503 (`timeout_ms` of the site file).
+const CALL_TIMEOUT_MS: u64 = 2000;
+
 #[derive(Clone)]
 pub struct Entry {
     pub id: String,
@@ -291,7 +294,7 @@
 struct DiscoveryState {
     version: u64,
     entries: BTreeMap<String, Entry>,
-    /// Calls that arrive now are not answered before this is lifted.
+    /// Calls that arrive now are not worked on before this is lifted.
     crowded: bool,
     /// For each endpoint that is leaving or has left: when a relay was first told.
     told: BTreeMap<String, Ms>,
@@ -374,7 +377,7 @@
         changed.notify_all();
     }
 
-    /// While discovery is crowded, calls that arrive wait until it is no longer.
+    /// While discovery is crowded, calls that arrive wait until it is no longer, or fail after `CALL_TIMEOUT_MS`.
     pub fn set_crowded(&self, crowded: bool) {
         let (lock, changed) = &*self.state;
         lock.lock().unwrap().crowded = crowded;
@@ -429,24 +432,33 @@
             };
             let (since, wait) = (number_of("index"), number_of("wait").unwrap_or(0).min(60_000));
             self.record.line(&format!("discovery: connection {number} calls {path}"));
-            let body = self.answer(since, wait);
+            let (status, body) = match self.answer(since, wait) {
+                Some(body) => ("200 OK", body),
+                None => ("503 Service Unavailable", String::new()),
+            };
             let text = format!(
-                "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
+                "HTTP/1.1 {status}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
                 body.len()
             );
             if stream.write_all(text.as_bytes()).is_err() {
                 return;
             }
-            self.record.line(&format!("discovery: connection {number} answered, {} bytes", body.len()));
+            self.record.line(&format!("discovery: connection {number} answered {status}, {} bytes", body.len()));
         }
     }
 
-    fn answer(&self, since: Option<u64>, wait: u64) -> String {
+    /// Returns the answer to a call; `None` if it waited too long for its turn.
+    fn answer(&self, since: Option<u64>, wait: u64) -> Option<String> {
         sleep_ms(self.turn_ms.load(Ordering::SeqCst));
         let (lock, changed) = &*self.state;
         let mut inner = lock.lock().unwrap();
+        let turn_until = Instant::now() + Duration::from_millis(CALL_TIMEOUT_MS);
         while inner.crowded {
-            inner = changed.wait(inner).unwrap();
+            let left = turn_until.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return None;
+            }
+            inner = changed.wait_timeout(inner, left).unwrap().0;
         }
         if let Some(since) = since {
             inner.watches += 1;
@@ -474,7 +486,7 @@
             }
             inner.told.entry(id).or_insert(now);
         }
-        render(&inner, since)
+        Some(render(&inner, since))
     }
 }
 
