Connections: MOVE is written, not tried, before a migrated connection closes

Cause: a connection that the successor cannot take up is migrated. `graceful_close::migrate` sent MOVE by one `try_write` and dropped its error. The runtime learns only at its next poll that a socket is writable, so on a socket registered a moment before the call writes nothing.

The same error was dropped where the client's socket buffer was full, also without a restart.

What is still unsent of complete lines goes before MOVE, and the beginning of a held-back line is dropped (`DownstreamBuffer::into_final_bytes`, in place of two rules for it). A transferred connection keeps its descriptors and its id reserved until it has been sent. `FinalWrites` counts connections whose last bytes are not written, and a shutdown waits for them.

--- a/src/relay/connections/client_stream.rs
+++ b/src/relay/connections/client_stream.rs
@@ -3,13 +3,14 @@
 use std::rc::Rc;
 
 use bytes::BytesMut;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 
-use super::graceful_close::{self, GRACEFUL_CLOSE_TIMEOUT};
+use super::final_writes::FinalWrites;
+use super::graceful_close;
 use super::protocol::MAX_LINE_BYTES;
-use crate::relay::DescriptorPermit;
 use crate::relay::timer_wheel::Timers;
+use crate::relay::{DescriptorPermit, SharedRelay};
 
 /// Size in bytes of a connection's buffer in each direction: a line of the maximum length always fits.
 pub(super) const BUFFER_BYTES: usize = MAX_LINE_BYTES;
@@ -23,6 +24,7 @@
     pub(super) received: BytesMut,
     pub(super) timers: Rc<Timers>,
     pub(super) permit: DescriptorPermit,
+    final_writes: FinalWrites,
 }
 
 /// What a client did while it should have waited for its response.
@@ -35,8 +37,15 @@
 }
 
 impl ClientStream {
-    pub(super) fn new(stream: TcpStream, permit: DescriptorPermit, timers: Rc<Timers>) -> ClientStream {
-        ClientStream { stream, received: BytesMut::with_capacity(REQUEST_BUFFER_BYTES), timers, permit }
+    pub(super) fn new(stream: TcpStream, permit: DescriptorPermit, relay: &SharedRelay) -> ClientStream {
+        let relay = relay.borrow();
+        ClientStream {
+            stream,
+            received: BytesMut::with_capacity(REQUEST_BUFFER_BYTES),
+            timers: relay.timers.clone(),
+            permit,
+            final_writes: relay.final_writes.clone(),
+        }
     }
 
     /// Waits until the client disconnects or sends data, although it should wait for its response.
@@ -61,11 +70,8 @@
     }
 
     /// Sends a last line and closes the connection gracefully.
-    pub(super) async fn close_with(mut self, last_line: &[u8]) {
-        tokio::select! {
-            _ = self.stream.write_all(last_line) => {}
-            () = self.timers.sleep(GRACEFUL_CLOSE_TIMEOUT) => {}
-        }
-        graceful_close::close(&self.timers, self.stream).await;
+    pub(super) async fn close_with(self, last_line: &[u8]) {
+        let write = self.final_writes.begin();
+        graceful_close::close_with(&self.timers, self.stream, last_line, write).await;
     }
 }
--- a/src/relay/connections/connection.rs
+++ b/src/relay/connections/connection.rs
@@ -42,8 +42,7 @@
 /// Serves an accepted connection until it is closed or transferred.
 pub(super) async fn serve(relay: SharedRelay, stream: TcpStream, permit: DescriptorPermit, slot: IdleSlot) {
     let _ = stream.set_nodelay(true);
-    let timers = relay.borrow().timers.clone();
-    let downstream = ClientStream::new(stream, permit, timers);
+    let downstream = ClientStream::new(stream, permit, &relay);
     let idle = IdleConnection { relay, downstream, slot };
     ConnectionState::Idle(Box::new(idle)).run().await;
 }
--- a/src/relay/connections/connection_guard.rs
+++ b/src/relay/connections/connection_guard.rs
@@ -31,6 +31,7 @@
 }
 
 /// The descriptors and the connection id that an established connection occupies until both sides are closed.
+#[derive(Debug)]
 pub(super) struct Reservations {
     _downstream: DescriptorPermit,
     _upstream: DescriptorPermit,
--- a/src/relay/connections/downstream_buffer.rs
+++ b/src/relay/connections/downstream_buffer.rs
@@ -3,7 +3,7 @@
 use bytes::BytesMut;
 
 use super::client_stream::BUFFER_BYTES;
-use super::protocol::complete_lines_len;
+use super::protocol::{MIGRATE, complete_lines_len};
 
 /// A buffer that releases only complete lines, so that the relay can insert its own line between two of them.
 ///
@@ -60,8 +60,16 @@
         self.sendable.is_empty()
     }
 
-    /// Returns whether everything has been sent that can be, and the last line sent is complete.
-    pub(super) fn at_line_boundary(&self) -> bool {
-        self.sendable.is_empty() && !self.partial_line_released
+    /// Returns the last bytes for a client that is migrated: all complete lines, and the line that tells it to
+    /// reconnect.
+    ///
+    /// The beginning of an incomplete line is dropped if it has been held back. If it has been released, the
+    /// client cannot be told.
+    pub(super) fn into_final_bytes(self) -> BytesMut {
+        let mut bytes = self.sendable;
+        if !self.partial_line_released {
+            bytes.extend_from_slice(MIGRATE);
+        }
+        bytes
     }
 }
--- a/src/relay/connections/established.rs
+++ b/src/relay/connections/established.rs
@@ -10,7 +10,7 @@
 use super::metric_labels::connection_end_reason;
 use super::protocol::{LastLine, OpenRequest};
 use super::streams::Streams;
-use super::transfer::ConnectionTransfer;
+use super::transfer::{ConnectionTransfer, TransferResources};
 use crate::relay::{ConnectionCommand, ConnectionIdGuard, DescriptorPermit, SharedRelay};
 
 /// The parts of a connection that an endpoint has just accepted.
@@ -30,7 +30,7 @@
     pub(super) guard: ConnectionGuard,
     pub(super) line_relay: LineRelay,
     pub(super) commands: UnboundedReceiver<ConnectionCommand>,
-    pub(super) _reservations: Reservations,
+    pub(super) reservations: Reservations,
 }
 
 /// The state that follows the established state.
@@ -58,7 +58,7 @@
         let line_relay = LineRelay::new(relay.clone(), guard.id, request, streams)
             .with_received(received, upstream.received);
         let reservations = Reservations::new(permit, upstream_permit, connection_id);
-        EstablishedConnection { relay, guard, line_relay, commands, _reservations: reservations }
+        EstablishedConnection { relay, guard, line_relay, commands, reservations }
     }
 
     /// Relays lines until the connection ends, reports the end, and closes or transfers the connection.
@@ -72,14 +72,16 @@
             self.relay.borrow_mut().record_silent_migration();
         }
         self.relay.borrow_mut().attempt_ended(self.guard.id, outcome, true, None);
+        let write = self.relay.borrow().final_writes.begin();
         self.guard.release_answered();
         match (end, endpoint) {
             (ConnectionEnd::Transferred, Some(endpoint)) => {
-                let transfer = self.line_relay.into_transfer(endpoint.0.as_ref().to_owned());
+                let resources = TransferResources::new(write, Some(self.reservations));
+                let transfer = self.line_relay.into_transfer(endpoint.0.as_ref().to_owned(), resources);
                 transfer_or_migrate(&self.relay, transfer)
             }
             (end, _) => {
-                self.line_relay.close(end).await;
+                self.line_relay.close(end, write).await;
                 FinalState::Closed
             }
         }
--- a/src/relay/connections/graceful_close.rs
+++ b/src/relay/connections/graceful_close.rs
@@ -7,7 +7,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
-use super::protocol::MIGRATE;
+use super::final_writes::FinalWriteGuard;
 use crate::relay::timer_wheel::Timers;
 
 /// Maximum number of bytes that are read and discarded while a connection is closed, which bounds the work
@@ -57,16 +57,28 @@
     }
 }
 
-/// Closes both sides of a connection. If the last line sent to the client is complete (`at_line_boundary`),
-/// tells the client to reconnect first.
-pub(super) async fn migrate(
-    timers: &Rc<Timers>, downstream: TcpStream, upstream: TcpStream, at_line_boundary: bool,
+/// Writes the last bytes for the peer, and closes the connection so that they still arrive.
+///
+/// `write` is released once the bytes are written, or cannot be written within `GRACEFUL_CLOSE_TIMEOUT`.
+pub(super) async fn close_with(
+    timers: &Rc<Timers>, mut stream: TcpStream, last_bytes: &[u8], write: FinalWriteGuard,
 ) {
-    if at_line_boundary {
-        // No other data is waiting to be sent, so the socket's buffer has room for this line.
-        let _ = downstream.try_write(MIGRATE);
+    // A socket that the runtime has only just registered is not known to be writable yet, so this must wait.
+    tokio::select! {
+        _ = stream.write_all(last_bytes) => {}
+        () = timers.sleep(GRACEFUL_CLOSE_TIMEOUT) => {}
     }
-    tokio::join!(close(timers, downstream), close(timers, upstream));
+    drop(write);
+    close(timers, stream).await;
+}
+
+/// Closes both sides of a connection after the last bytes for the client, see
+/// [`DownstreamBuffer::into_final_bytes`](super::downstream_buffer::DownstreamBuffer::into_final_bytes).
+pub(super) async fn migrate(
+    timers: &Rc<Timers>, downstream: TcpStream, upstream: TcpStream, last_bytes: &[u8],
+    write: FinalWriteGuard,
+) {
+    tokio::join!(close_with(timers, downstream, last_bytes, write), close(timers, upstream));
 }
 
 /// Reads and discards bytes until the peer closes its side. Never returns once the limit is reached; the
--- a/src/relay/connections/line_relay.rs
+++ b/src/relay/connections/line_relay.rs
@@ -9,11 +9,12 @@
 
 use super::client_stream::BUFFER_BYTES;
 use super::downstream_buffer::DownstreamBuffer;
+use super::final_writes::FinalWriteGuard;
 use super::graceful_close::{self, CloseKind};
 use super::protocol::{EndpointLine, LastLine, LineTracker, OpenRequest};
 use super::silence_detector::SilenceDetector;
 use super::streams::{SideClosed, Streams, write_available};
-use super::transfer::{ConnectionSnapshot, ConnectionTransfer};
+use super::transfer::{ConnectionSnapshot, ConnectionTransfer, TransferResources};
 use crate::relay::metrics::labels::Direction;
 use crate::relay::timer_wheel::Timers;
 use crate::relay::{ConnectionCommand, SharedRelay};
@@ -106,8 +107,9 @@
         self.last_line
     }
 
-    /// Converts the connection into the form in which it is transferred to another process.
-    pub(super) fn into_transfer(self, endpoint: String) -> ConnectionTransfer {
+    /// Converts the connection into the form in which it is transferred to another process. The resources are
+    /// held until it has been sent or closed.
+    pub(super) fn into_transfer(self, endpoint: String, resources: TransferResources) -> ConnectionTransfer {
         let snapshot = ConnectionSnapshot {
             request: self.request.as_bytes().to_vec(),
             endpoint,
@@ -119,14 +121,13 @@
             load: self.load,
         };
         let Streams { downstream, upstream } = self.streams;
-        ConnectionTransfer { snapshot, downstream, upstream }
+        ConnectionTransfer { snapshot, downstream, upstream, resources }
     }
 
     /// Closes the sides that are still open: the remaining side in the way the first was closed, or both
-    /// sides after a migration.
-    pub(super) async fn close(self, end: ConnectionEnd) {
-        let at_line_boundary = self.to_downstream.at_line_boundary();
-        let LineRelay { streams: Streams { downstream, upstream }, timers, .. } = self;
+    /// sides after a migration. `write` is released once the client has been sent its last bytes.
+    pub(super) async fn close(self, end: ConnectionEnd, write: FinalWriteGuard) {
+        let LineRelay { streams: Streams { downstream, upstream }, timers, to_downstream, .. } = self;
         match end {
             ConnectionEnd::UpstreamClosed(kind) => {
                 graceful_close::close_like(kind, &timers, downstream).await
@@ -135,7 +136,8 @@
                 graceful_close::close_like(kind, &timers, upstream).await
             }
             ConnectionEnd::Migrated | ConnectionEnd::EndpointSilent | ConnectionEnd::Transferred => {
-                graceful_close::migrate(&timers, downstream, upstream, at_line_boundary).await;
+                let last_bytes = to_downstream.into_final_bytes();
+                graceful_close::migrate(&timers, downstream, upstream, &last_bytes, write).await;
             }
         }
     }
--- a/src/relay/connections/restore.rs
+++ b/src/relay/connections/restore.rs
@@ -13,7 +13,7 @@
 use super::line_relay::LineRelay;
 use super::protocol::OpenRequest;
 use super::streams::Streams;
-use super::transfer::{ConnectionSnapshot, ConnectionTransfer};
+use super::transfer::{ConnectionSnapshot, ConnectionTransfer, TransferResources};
 use crate::relay::SharedRelay;
 
 /// Restores a connection that another process of this relay has transferred, and starts its task.
@@ -28,20 +28,21 @@
     let stream = |socket: OwnedFd| TcpStream::from_std(std::net::TcpStream::from(socket));
     let (downstream, upstream) = (stream(downstream)?, stream(upstream)?);
     let timers = relay.borrow().timers.clone();
+    let resources = TransferResources::new(relay.borrow().final_writes.begin(), None);
     let request = OpenRequest::parse(Bytes::copy_from_slice(&snapshot.request));
     let (downstream_permit, upstream_permit) =
         (relay.borrow().acquire_descriptor(), relay.borrow().acquire_descriptor());
     let (Ok(request), Some(downstream_permit), Some(upstream_permit)) =
         (request, downstream_permit, upstream_permit)
     else {
-        ConnectionTransfer { snapshot, downstream, upstream }.migrate(&timers);
+        ConnectionTransfer { snapshot, downstream, upstream, resources }.migrate(&timers);
         return Err(io::Error::other("no free descriptors, or its request is not valid"));
     };
     let connection_id = relay.borrow().reserve_connection_id(&request);
     let endpoint = EndpointId(snapshot.endpoint.as_str().into());
     let registered = relay.borrow_mut().restore_connection(&request, endpoint);
     let (Some(connection_id), Some((id, commands))) = (connection_id, registered) else {
-        ConnectionTransfer { snapshot, downstream, upstream }.migrate(&timers);
+        ConnectionTransfer { snapshot, downstream, upstream, resources }.migrate(&timers);
         return Err(io::Error::other("its connection id is already open here, or its class is unknown"));
     };
     if let Some(load) = snapshot.load {
@@ -53,7 +54,7 @@
         guard: ConnectionGuard::new(relay.clone(), id),
         line_relay: LineRelay::new(relay.clone(), id, request, streams).with_snapshot(snapshot),
         commands,
-        _reservations: Reservations::new(downstream_permit, upstream_permit, connection_id),
+        reservations: Reservations::new(downstream_permit, upstream_permit, connection_id),
     };
     tokio::task::spawn_local(ConnectionState::Established(Box::new(established)).run());
     Ok(())
--- a/src/relay/connections/transfer.rs
+++ b/src/relay/connections/transfer.rs
@@ -6,8 +6,11 @@
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpStream;
 
+use super::connection_guard::Reservations;
+use super::downstream_buffer::DownstreamBuffer;
+use super::final_writes::FinalWriteGuard;
 use super::graceful_close;
-use super::protocol::{LastLine, LineTracker, complete_lines_len};
+use super::protocol::{LastLine, LineTracker};
 use crate::relay::timer_wheel::Timers;
 
 /// The state of an established connection without its sockets, as one process sends it to another.
@@ -37,6 +40,20 @@
     pub(super) load: Option<f64>,
 }
 
+/// What a connection holds in this process until it has been sent to another one, or its client has been sent
+/// its last bytes.
+#[derive(Debug)]
+pub(super) struct TransferResources {
+    write: FinalWriteGuard,
+    reservations: Option<Reservations>,
+}
+
+impl TransferResources {
+    pub(super) fn new(write: FinalWriteGuard, reservations: Option<Reservations>) -> TransferResources {
+        TransferResources { write, reservations }
+    }
+}
+
 /// A connection with its sockets, to be sent to another process.
 #[derive(Debug)]
 pub struct ConnectionTransfer {
@@ -46,19 +63,21 @@
     pub downstream: TcpStream,
     /// The endpoint's socket.
     pub upstream: TcpStream,
+    pub(super) resources: TransferResources,
 }
 
 impl ConnectionTransfer {
     /// Migrates the client, because no process can continue the connection.
     pub fn migrate(self, timers: &Rc<Timers>) {
-        let ConnectionTransfer { snapshot, downstream, upstream } = self;
-        // The last line sent to the client is complete if the unsent bytes are only the beginning of the next
-        // line, or if nothing is unsent and the endpoint has not begun another line.
-        let at_line_boundary = complete_lines_len(&snapshot.to_downstream) == 0
-            && (!snapshot.to_downstream.is_empty() || snapshot.line_tracker.between_lines());
+        let ConnectionTransfer { snapshot, downstream, upstream, resources } = self;
+        let TransferResources { write, reservations } = resources;
+        let between_lines = snapshot.line_tracker.between_lines();
+        let unsent = DownstreamBuffer::restore(&snapshot.to_downstream, between_lines);
+        let last_bytes = unsent.into_final_bytes();
         let timers = timers.clone();
         tokio::task::spawn_local(async move {
-            graceful_close::migrate(&timers, downstream, upstream, at_line_boundary).await;
+            graceful_close::migrate(&timers, downstream, upstream, &last_bytes, write).await;
+            drop(reservations);
         });
     }
 }
--- a/src/relay/lifecycle/graceful_shutdown.rs
+++ b/src/relay/lifecycle/graceful_shutdown.rs
@@ -66,7 +66,8 @@
         let now = timers.clock.now();
         let (established, pending) = relay.borrow().open_connections();
         let idle = handed_over && !relay.borrow().idle_connections.is_empty();
-        let drained = established.is_empty() && pending == 0 && !idle;
+        let written = relay.borrow().final_writes.count() == 0;
+        let drained = established.is_empty() && pending == 0 && !idle && written;
         if drained || now >= kill_at - EXIT_BEFORE_KILL - LINGER {
             break;
         }
--- a/src/relay/state.rs
+++ b/src/relay/state.rs
@@ -14,6 +14,7 @@
 
 use super::clock::Clock;
 use super::connection_table::{ConnectionTable, OpenConnectionIds};
+use super::connections::final_writes::FinalWrites;
 use super::connections::idle::IdleConnections;
 use super::descriptors::{DescriptorCounter, connection_descriptor_limit};
 use super::endpoint_table::EndpointTable;
@@ -44,6 +45,8 @@
     pub(in crate::relay) events: VecDeque<Event>,
     pub(in crate::relay) connections: ConnectionTable,
     pub(in crate::relay) idle_connections: IdleConnections,
+    /// Connections that have ended and whose client has not been sent its last bytes yet.
+    pub(in crate::relay) final_writes: FinalWrites,
     /// Connection ids that clients have open.
     pub(in crate::relay) open_connection_ids: OpenConnectionIds,
     pub(in crate::relay) endpoints: EndpointTable,
@@ -128,6 +131,7 @@
                 events: VecDeque::new(),
                 connections: ConnectionTable::default(),
                 idle_connections: IdleConnections::default(),
+                final_writes: FinalWrites::default(),
                 open_connection_ids: OpenConnectionIds::default(),
                 endpoints: EndpointTable::default(),
                 endpoint_list_version: 0,
--- /dev/null
+++ b/tests/migration_before_close.rs
@@ -0,0 +1,52 @@
+//! Every client is told to reconnect before the relay ends its connection, whatever ends it.
+
+#[path = "support/hot_restart.rs"]
+mod hot_restart;
+#[path = "support/process.rs"]
+mod process;
+
+use std::fs;
+use std::io::{BufRead, BufReader};
+use std::net::TcpStream;
+use std::time::Duration;
+
+use hot_restart::{RelaySetup, open_connection, send_signal};
+use serde_json::Value;
+
+/// Opens connections that must be established, and returns readers of what follows.
+fn establish(setup: &RelaySetup, count: usize) -> Vec<BufReader<TcpStream>> {
+    let open = |_| {
+        let (answer, client) = open_connection(setup.clients).expect("the connection is answered");
+        assert!(answer.starts_with("UP"), "{answer}");
+        client.set_read_timeout(Some(Duration::from_secs(10))).expect("the socket option is set");
+        BufReader::new(client)
+    };
+    (0..count).map(open).collect()
+}
+
+/// Returns the clients' next lines; an empty line stands for a connection that ended without one.
+fn next_lines(clients: Vec<BufReader<TcpStream>>) -> Vec<String> {
+    let next_line = |mut client: BufReader<TcpStream>| {
+        let mut line = String::new();
+        let _ = client.read_line(&mut line);
+        line
+    };
+    clients.into_iter().map(next_line).collect()
+}
+
+/// Guards against transferred connections that the successor has no descriptors for and that it cuts off without
+/// telling the client: the sockets are new to its runtime, so a write that does not wait writes nothing.
+#[test]
+fn clients_that_the_successor_has_no_descriptors_for_are_told_to_reconnect() {
+    let setup = RelaySetup::new("cannot-serve");
+    let (mut predecessor, _) = setup.start("old.log");
+    let clients = establish(&setup, 40);
+    let config = fs::read_to_string(&setup.config).expect("the configuration is readable");
+    let mut config: Value = serde_json::from_str(&config).expect("the configuration is valid");
+    config["limits"]["sockets"] = 48.into();
+    setup.folder.write("config.json", &config.to_string());
+    let (_successor, _) = setup.start("new.log");
+    send_signal(&predecessor, "-TERM");
+    assert_eq!(predecessor.child.wait().expect("the process ends").code(), Some(0));
+    assert_eq!(next_lines(clients), vec!["MOVE\r\n"; 40]);
+}
