Shutdown: connections that wait for the end of a line get MOVE before the exit

Cause: two faults together. A connection that was told to migrate and waited for the end of its line stayed among the established ones, so each round told the same lowest ids again, and most were told only at the last round. And the wait of up to 600 ms was counted from that moment and checked every 250 ms, while the process exits 320 ms after the last round.

Change: `ConnectionCommand::Migrate` carries a deadline, the earliest counts, and the connection wakes up at it. A connection that the balancer migrated shortly before gets the earlier deadline too. The notice of a shutdown is a type of its own (`Notice`).

--- a/src/relay/actions.rs
+++ b/src/relay/actions.rs
@@ -4,6 +4,7 @@
 use honeyknot_metrics::MetricFamily;
 use tracing::info;
 
+use super::command::LINE_END_TIMEOUT;
 use super::connection_table::CurrentAttempt;
 use super::endpoints::discovery_client::DiscoveryCommand;
 use super::endpoints::health_check::{self, HealthCheckCommand};
@@ -23,7 +24,7 @@
             }
             Action::Migrate(id) => {
                 self.update_metrics(|metrics| metrics.increment(MetricFamily::Migrations, "decisions"));
-                self.send_command(id, ConnectionCommand::Migrate);
+                self.migrate_connection(id);
             }
             Action::Cancel { id, attempt } => self.send_command(id, ConnectionCommand::Cancel(attempt)),
             Action::CheckHealth(endpoint) => self.request_health_check(endpoint),
@@ -90,7 +91,13 @@
         });
     }
 
-    pub(in crate::relay) fn send_command(&mut self, id: RequestId, command: ConnectionCommand) {
+    /// Asks a client to reconnect.
+    pub(in crate::relay) fn migrate_connection(&self, id: RequestId) {
+        let deadline = self.timers.clock.now() + LINE_END_TIMEOUT;
+        self.send_command(id, ConnectionCommand::Migrate { deadline });
+    }
+
+    pub(in crate::relay) fn send_command(&self, id: RequestId, command: ConnectionCommand) {
         if let Some(entry) = self.connections.get(id) {
             // Sending fails if the connection's task has just ended; `connection_closed` then settles the
             // request.
--- a/src/relay/command.rs
+++ b/src/relay/command.rs
@@ -4,6 +4,9 @@
 
 use honeyknot_balancer::{AttemptId, EndpointId, Micros};
 
+/// Maximum time that a migration waits for the end of a line that the endpoint has begun, in microseconds.
+pub(in crate::relay) const LINE_END_TIMEOUT: Micros = 600_000;
+
 /// A command to the task of a connection.
 #[derive(Debug)]
 pub enum ConnectionCommand {
@@ -13,8 +16,12 @@
     Reject(Micros),
     /// Tell the client that the request failed.
     Fail,
-    /// Ask the client to reconnect.
-    Migrate,
+    /// Ask the client to reconnect: at the end of a line, or at the deadline if the endpoint does not end its
+    /// line before. The earliest deadline counts.
+    Migrate {
+        /// Deadline in Unix microseconds.
+        deadline: Micros,
+    },
     /// Transfer the connection to the process that replaces this one.
     Transfer,
     /// Cancel this attempt.
--- a/src/relay/connections/handshake.rs
+++ b/src/relay/connections/handshake.rs
@@ -84,7 +84,7 @@
     async fn receive_request(&mut self) -> Result<HandshakeResult, ProtocolError> {
         let timers = self.downstream.timers.clone();
         let deadline = timers.clock.now() + REQUEST_TIMEOUT;
-        let shutdown = self.slot.shutdown_notice();
+        let shutdown = self.relay.borrow().shutdown_notice.clone();
         let mut pinged = false;
         loop {
             let line_end = tokio::select! {
@@ -98,7 +98,7 @@
                         Err(ProtocolError::FirstLineTimeout)
                     };
                 }
-                () = shutdown.notified() => return Ok(HandshakeResult::Expired),
+                () = shutdown.given() => return Ok(HandshakeResult::Expired),
             };
             let Some(line_end) = line_end else { return Ok(HandshakeResult::Disconnected) };
             let line = self.downstream.received.split_to(line_end).freeze();
--- a/src/relay/connections/idle.rs
+++ b/src/relay/connections/idle.rs
@@ -5,40 +5,17 @@
 //! sent nothing, the oldest first; those that have sent part of a request, the one without progress for
 //! longest first. A client on a slow link is therefore not evicted because of a flood of silent ones.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::future::Future;
 use std::rc::Rc;
 
-use tokio::sync::Notify;
 use tokio::task::AbortHandle;
 
 /// All idle connections, in the order in which they are evicted.
 #[derive(Clone, Debug, Default)]
 pub struct IdleConnections {
     queue: Rc<RefCell<EvictionQueue>>,
-    shutdown: Rc<ShutdownNotice>,
-}
-
-/// Tells idle connections that the relay is shutting down and that they must end.
-#[derive(Debug, Default)]
-pub struct ShutdownNotice {
-    is_given: Cell<bool>,
-    notify: Notify,
-}
-
-impl ShutdownNotice {
-    /// Waits for the notice; returns at once if it has been given.
-    pub async fn notified(&self) {
-        if !self.is_given.get() {
-            self.notify.notified().await;
-        }
-    }
-
-    fn give(&self) {
-        self.is_given.set(true);
-        self.notify.notify_waiters();
-    }
 }
 
 /// Progress of an idle connection; the lowest value is evicted first.
@@ -83,11 +60,6 @@
 }
 
 impl IdleSlot {
-    /// Returns the notice that is given when the relay shuts down.
-    pub fn shutdown_notice(&self) -> Rc<ShutdownNotice> {
-        self.connections.shutdown.clone()
-    }
-
     /// Records that the client has sent a further part of a request.
     pub fn mark_receiving(&mut self) {
         let sequence = self.connections.queue.borrow_mut().next_sequence();
@@ -131,11 +103,6 @@
         }
     }
 
-    /// Tells every idle connection to end because the relay is shutting down.
-    pub fn notify_shutdown(&self) {
-        self.shutdown.give();
-    }
-
     /// Returns the number of idle connections.
     pub fn len(&self) -> usize {
         self.queue.borrow().tasks.len()
--- a/src/relay/connections/line_relay.rs
+++ b/src/relay/connections/line_relay.rs
@@ -21,7 +21,7 @@
 
 /// Interval at which an established connection without traffic checks its state, in microseconds.
 const CHECK_INTERVAL: Micros = 250_000;
-/// Maximum delay of a connection's end or migration while bytes in flight are sent, in microseconds.
+/// Maximum delay of a connection's end while bytes in flight are sent, in microseconds.
 const FLUSH_TIMEOUT: Micros = 600_000;
 
 /// How an established connection ended.
@@ -52,7 +52,9 @@
     last_line: LastLine,
     upstream_closed: Option<SideClosed>,
     downstream_closed: Option<SideClosed>,
-    migrating_since: Option<Micros>,
+    /// Time at which a migration no longer waits for the end of a line, in Unix microseconds; `None` without a
+    /// migration.
+    migration_deadline: Option<Micros>,
     transfer_requested: bool,
     /// Load that the endpoint last reported for this connection, if any.
     load: Option<f64>,
@@ -76,7 +78,7 @@
             last_line: LastLine::Other,
             upstream_closed: None,
             downstream_closed: None,
-            migrating_since: None,
+            migration_deadline: None,
             transfer_requested: false,
             load: None,
             silence: SilenceDetector::default(),
@@ -144,7 +146,7 @@
 
     /// Relays lines until the connection ends.
     pub(super) async fn run(&mut self, commands: &mut UnboundedReceiver<ConnectionCommand>) -> ConnectionEnd {
-        let check = self.timers.sleep(CHECK_INTERVAL);
+        let check = self.timers.sleep_until(self.next_check());
         tokio::pin!(check);
         loop {
             self.flush();
@@ -153,7 +155,10 @@
             }
             tokio::select! {
                 biased;
-                command = commands.recv(), if self.migrating_since.is_none() => self.execute(command),
+                Some(command) = commands.recv() => {
+                    self.execute(&command);
+                    check.set(self.timers.sleep_until(self.next_check()));
+                }
                 ready = self.streams.upstream.readable(), if self.can_read_upstream() => {
                     if ready.is_ok() {
                         self.read_upstream();
@@ -166,21 +171,32 @@
                 }
                 _ = self.streams.downstream.writable(), if !self.to_downstream.is_empty() => {}
                 _ = self.streams.upstream.writable(), if !self.to_upstream.is_empty() => {}
-                () = &mut check => check.set(self.timers.sleep(CHECK_INTERVAL)),
+                () = &mut check => check.set(self.timers.sleep_until(self.next_check())),
             }
         }
     }
 
-    /// Executes a command. Only `Migrate` and `Transfer` apply to an established connection; the end of the
-    /// queue also starts a migration.
-    fn execute(&mut self, command: Option<ConnectionCommand>) {
+    /// Executes a command. Only `Migrate` and `Transfer` apply to an established connection.
+    fn execute(&mut self, command: &ConnectionCommand) {
         match command {
-            Some(ConnectionCommand::Migrate) | None => self.migrating_since = Some(self.timers.clock.now()),
-            Some(ConnectionCommand::Transfer) => self.transfer_requested = true,
-            Some(_) => {}
+            ConnectionCommand::Migrate { deadline } => {
+                let earlier = self.migration_deadline.map_or(*deadline, |known| known.min(*deadline));
+                self.migration_deadline = Some(earlier);
+            }
+            ConnectionCommand::Transfer => self.transfer_requested = true,
+            ConnectionCommand::Forward(_)
+            | ConnectionCommand::Reject(_)
+            | ConnectionCommand::Fail
+            | ConnectionCommand::Cancel(_) => {}
         }
     }
 
+    /// Returns when the connection checks its state next without traffic, in Unix microseconds.
+    fn next_check(&self) -> Micros {
+        let regular = self.timers.clock.now() + CHECK_INTERVAL;
+        self.migration_deadline.map_or(regular, |deadline| regular.min(deadline))
+    }
+
     fn can_read_upstream(&self) -> bool {
         self.upstream_closed.is_none() && self.to_downstream.is_empty()
     }
@@ -218,8 +234,8 @@
         {
             return Some(ConnectionEnd::UpstreamClosed(closed.kind));
         }
-        if let Some(since) = self.migrating_since
-            && (self.between_lines() || flush_overdue(since))
+        if let Some(deadline) = self.migration_deadline
+            && (self.between_lines() || now >= deadline)
         {
             return Some(ConnectionEnd::Migrated);
         }
@@ -234,7 +250,9 @@
 
     /// Returns whether neither side is closed and no migration has begun.
     fn is_open(&self) -> bool {
-        self.downstream_closed.is_none() && self.upstream_closed.is_none() && self.migrating_since.is_none()
+        self.downstream_closed.is_none()
+            && self.upstream_closed.is_none()
+            && self.migration_deadline.is_none()
     }
 
     /// Returns whether the client has received complete lines only and the endpoint has not begun another, so
--- a/src/relay/connections/opening.rs
+++ b/src/relay/connections/opening.rs
@@ -111,9 +111,9 @@
             ConnectionCommand::Forward(attempt) => self.forward(&attempt).await,
             ConnectionCommand::Reject(_) | ConnectionCommand::Fail => response_to(&command),
             // Without an attempt in flight or an established connection, there is nothing to do.
-            ConnectionCommand::Cancel(_) | ConnectionCommand::Migrate | ConnectionCommand::Transfer => {
-                Step::Continue
-            }
+            ConnectionCommand::Cancel(_)
+            | ConnectionCommand::Migrate { .. }
+            | ConnectionCommand::Transfer => Step::Continue,
         }
     }
 
--- a/src/relay/endpoints/zone_failover.rs
+++ b/src/relay/endpoints/zone_failover.rs
@@ -14,7 +14,7 @@
 
 use super::health_check::HealthCheckCommand;
 use crate::relay::lifecycle::config::Config;
-use crate::relay::{ConnectionCommand, Relay};
+use crate::relay::Relay;
 use crate::settings::NameTable;
 
 /// Lowest price of cross-zone traffic while zone failover is enabled: the balancer then prefers the home zone
@@ -118,7 +118,7 @@
         match action {
             ZoneAction::MigrateConnection(id) => {
                 self.update_metrics(|metrics| metrics.increment(MetricFamily::Migrations, "site"));
-                self.send_command(id, ConnectionCommand::Migrate);
+                self.migrate_connection(id);
             }
             ZoneAction::CheckHealth(endpoint) => {
                 self.send_health_check_command(endpoint, HealthCheckCommand::Check);
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -24,6 +24,7 @@
 mod error;
 pub mod lifecycle;
 mod limits;
+mod notice;
 // This module does not pass these lints yet.
 #[allow(unreachable_pub, missing_debug_implementations, clippy::wildcard_imports)]
 pub mod metrics;
--- a/src/relay/state.rs
+++ b/src/relay/state.rs
@@ -26,6 +26,7 @@
 use super::lifecycle::hot_restart::ListenerOwnership;
 use super::metrics::persistent_counters::PersistentCounters;
 use super::metrics::{exporter, recorder};
+use super::notice::Notice;
 use super::timer_wheel::Timers;
 use crate::gossip::GossipHandle;
 use crate::settings::NameTable;
@@ -74,6 +75,8 @@
     pub(in crate::relay) max_descriptors: usize,
     pub(in crate::relay) admin_enabled: bool,
     pub(in crate::relay) shutting_down: bool,
+    /// Given when the relay shuts down: tells connections that are not registered to end.
+    pub(in crate::relay) shutdown_notice: Notice,
     /// Which process of this relay accepts clients.
     pub(in crate::relay) listener_ownership: ListenerOwnership,
     pub(in crate::relay) started_at: Micros,
@@ -150,6 +153,7 @@
                 max_descriptors: connection_descriptor_limit(config.max_descriptors, config.admin.is_some()),
                 admin_enabled: config.admin.is_some(),
                 shutting_down: false,
+                shutdown_notice: Notice::default(),
                 listener_ownership: ListenerOwnership::default(),
                 started_at,
                 weak_self: weak_self.clone(),
--- a/tests/migration_before_close.rs
+++ b/tests/migration_before_close.rs
@@ -6,11 +6,12 @@
 mod process;
 
 use std::fs;
-use std::io::{BufRead, BufReader};
-use std::net::TcpStream;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::Duration;
 
-use hot_restart::{RelaySetup, open_connection, send_signal};
+use hot_restart::{RelaySetup, endpoint_list, open_connection, send_signal};
+use process::unused_address;
 use serde_json::Value;
 
 /// Opens connections that must be established, and returns readers of what follows.
@@ -50,3 +51,30 @@
     assert_eq!(predecessor.child.wait().expect("the process ends").code(), Some(0));
     assert_eq!(next_lines(clients), vec!["MOVE\r\n"; 40]);
 }
+
+/// Starts an endpoint that accepts every connection and then hangs in the middle of a line.
+fn start_endpoint_that_hangs_in_a_line() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("the listener has an address");
+    std::thread::spawn(move || {
+        let mut hanging = Vec::new();
+        for mut stream in listener.incoming().flatten() {
+            let _ = stream.write_all(b"UP r1\r\ncard 1, the first ha");
+            hanging.push(stream);
+        }
+    });
+    address
+}
+
+/// Guards against clients of a hanging endpoint that are cut off at a shutdown: one that waited for the end of a
+/// line took the turn of all others, and the process exited before the wait was over.
+#[test]
+fn clients_of_an_endpoint_that_hangs_in_a_line_are_told_to_reconnect_at_a_shutdown() {
+    let endpoints = endpoint_list([start_endpoint_that_hangs_in_a_line(); 3]);
+    let setup = RelaySetup::with_discovery("hangs", &endpoints, unused_address());
+    let (mut relay, _) = setup.start("log");
+    let clients = establish(&setup, 60);
+    send_signal(&relay, "-TERM");
+    assert_eq!(relay.child.wait().expect("the process ends").code(), Some(0));
+    assert_eq!(next_lines(clients), vec!["MOVE\r\n"; 60]);
+}
