Hot restart: connections that a hanging successor does not receive get MOVE

Cause: a connection left the table of connections when it was queued, so the shutdown counted it as done; and a write to the link waits for the other process without a limit.

When the shutdown's time for releases is over, the notice `transfers_end` ends the write that waits, and with it the link, whose end migrates what is queued.

--- a/src/relay/lifecycle/graceful_shutdown.rs
+++ b/src/relay/lifecycle/graceful_shutdown.rs
@@ -138,6 +138,7 @@
             self.migrate_connections(now);
         }
         if overdue {
+            self.relay.borrow().listener_ownership.transfers_end.give();
             fail_pending(&self.relay);
         }
     }
--- a/src/relay/lifecycle/hot_restart/link.rs
+++ b/src/relay/lifecycle/hot_restart/link.rs
@@ -1,6 +1,6 @@
 //! The link between the two processes of a relay while both run.
 
-use std::os::fd::AsFd;
+use std::os::fd::{AsFd, BorrowedFd};
 use std::rc::Rc;
 
 use honeyknot_balancer::{EndpointId, Micros};
@@ -13,6 +13,7 @@
 use super::{HotRestartMessage, StateDirectory, TakeoverChannel, successor};
 use crate::relay::SharedRelay;
 use crate::relay::connections::{self, ConnectionSnapshot, ConnectionTransfer, listener};
+use crate::relay::notice::Notice;
 use crate::relay::timer_wheel::Timers;
 
 /// Interval at which the predecessor reports its number of descriptors, in microseconds.
@@ -42,7 +43,10 @@
     channel: TakeoverChannel, mut commands: UnboundedReceiver<LinkCommand>,
 ) {
     let timers = relay.borrow().timers.clone();
-    let mut link = LinkTask { relay: relay.clone(), directory: directory.clone(), listener, channel };
+    let transfers_end = relay.borrow().listener_ownership.transfers_end.clone();
+    let (task_relay, task_directory) = (relay.clone(), directory.clone());
+    let mut link =
+        LinkTask { relay: task_relay, directory: task_directory, listener, channel, transfers_end };
     link.exchange(&mut commands, &timers).await;
     let stage = relay.borrow_mut().listener_ownership.link.take().map(|link| link.stage);
     commands.close();
@@ -67,6 +71,7 @@
     /// The listener, in the predecessor; `None` in the successor.
     listener: Option<Rc<TcpListener>>,
     channel: TakeoverChannel,
+    transfers_end: Notice,
 }
 
 impl LinkTask {
@@ -92,13 +97,19 @@
         }
     }
 
-    async fn send(&self, message: &HotRestartMessage) -> LinkState {
-        LinkState::after_send(self.channel.send(message, &[]).await)
+    /// Sends a message with descriptors. A process that hangs may never receive it, so the end of the
+    /// transfers also ends the attempt, and with it the link.
+    async fn send(&self, message: &HotRestartMessage, descriptors: &[BorrowedFd<'_>]) -> LinkState {
+        tokio::select! {
+            biased;
+            sent = self.channel.send(message, descriptors) => LinkState::after_send(sent),
+            () = self.transfers_end.given() => LinkState::Closed,
+        }
     }
 
     async fn execute(&mut self, command: LinkCommand, timers: &Rc<Timers>) -> LinkState {
         match command {
-            LinkCommand::Send(message) => self.send(&message).await,
+            LinkCommand::Send(message) => self.send(&message, &[]).await,
             LinkCommand::Transfer(transfer) => self.send_connection(*transfer, timers).await,
         }
     }
@@ -107,7 +118,7 @@
     async fn send_connection(&self, transfer: ConnectionTransfer, timers: &Rc<Timers>) -> LinkState {
         let sockets = [transfer.downstream.as_fd(), transfer.upstream.as_fd()];
         let message = HotRestartMessage::Connection(transfer.snapshot.clone());
-        let state = LinkState::after_send(self.channel.send(&message, &sockets).await);
+        let state = self.send(&message, &sockets).await;
         if state == LinkState::Closed {
             transfer.migrate(timers);
         }
@@ -116,7 +127,7 @@
 
     async fn report_descriptors(&self) -> LinkState {
         let descriptors = self.relay.borrow().descriptors_in_use.get();
-        self.send(&HotRestartMessage::DescriptorsInUse { descriptors }).await
+        self.send(&HotRestartMessage::DescriptorsInUse { descriptors }, &[]).await
     }
 
     /// Handles a message. Answers are queued as commands: they must follow the changes that this process has
--- a/src/relay/lifecycle/hot_restart/ownership.rs
+++ b/src/relay/lifecycle/hot_restart/ownership.rs
@@ -11,6 +11,7 @@
 use super::{MaintenanceState, StateDirectory};
 use crate::relay::Relay;
 use crate::relay::connections::ConnectionTransfer;
+use crate::relay::notice::Notice;
 
 /// Descriptors that a process uses beyond those that it counts.
 const UNCOUNTED_DESCRIPTORS: usize = 16;
@@ -94,6 +95,8 @@
     pub accept_task: Option<AbortHandle>,
     pub(super) directory: Option<Rc<StateDirectory>>,
     pub(super) link: Option<Link>,
+    /// Given when this process must end: connections that are still to be sent are then migrated.
+    pub(in crate::relay) transfers_end: Notice,
     /// The number of maintenance changes so far; the next one is numbered one higher.
     pub(super) changes_sent: u64,
 }
--- a/tests/migration_before_close.rs
+++ b/tests/migration_before_close.rs
@@ -78,3 +78,36 @@
     assert_eq!(relay.child.wait().expect("the process ends").code(), Some(0));
     assert_eq!(next_lines(clients), vec!["MOVE\r\n"; 60]);
 }
+
+/// Guards against connections that are queued for a successor that hangs, and that end with the predecessor.
+#[test]
+fn clients_that_a_hanging_successor_does_not_receive_are_told_to_reconnect() {
+    let setup = RelaySetup::new("hanging-successor");
+    let (mut predecessor, _) = setup.start("old.log");
+    // Long requests, so that the link's socket holds only some of the connections.
+    let padding = "p".repeat(3_900);
+    let mut clients = Vec::new();
+    for id in 0..60 {
+        let mut client = TcpStream::connect(setup.clients).expect("the relay accepts connections");
+        write!(client, "OPEN h{id} k{id} c=study,d=1200,x={padding}\r\n").expect("the request is sent");
+        client.set_read_timeout(Some(Duration::from_secs(10))).expect("the socket option is set");
+        let mut client = BufReader::new(client);
+        let mut answer = String::new();
+        client.read_line(&mut answer).expect("the answer is read");
+        assert!(answer.starts_with("UP"), "{answer}");
+        clients.push(client);
+    }
+    let (successor, _) = setup.start("new.log");
+    send_signal(&successor, "-STOP");
+    send_signal(&predecessor, "-TERM");
+    assert_eq!(predecessor.child.wait().expect("the process ends").code(), Some(0));
+    send_signal(&successor, "-CONT");
+    // Those that were sent before the link was full continue.
+    for client in &mut clients {
+        let _ = client.get_mut().write_all(b"card 1\r\n");
+    }
+    let lines = next_lines(clients);
+    let count = |expected: &str| lines.iter().filter(|line| *line == expected).count();
+    assert_eq!(count("OK\r\n") + count("MOVE\r\n"), 60, "{lines:?}");
+    assert!(count("MOVE\r\n") > 0, "the link held all connections");
+}
