Adoption: a client that waits for its endpoint is answered at a shutdown

Cause: such a connection is in no table until it is adopted, and it did not wait for the notice of the shutdown that idle ones get.

Change: the wait ends with that notice, and the client gets `ERR`: the request may have been sent.

--- a/src/relay/connections/adoption.rs
+++ b/src/relay/connections/adoption.rs
@@ -42,10 +42,12 @@
     }
 
     /// Connects to the endpoint, which discovery may list only later. Returns `None` if the connection was
-    /// closed because the client disconnected or sent too much data, or the deadline for adoption passed.
+    /// closed because the client disconnected or sent too much data, the deadline for adoption passed, or the
+    /// relay shuts down.
     pub(super) async fn run(mut self) -> Option<EstablishedConnection> {
         let timers = self.downstream.timers.clone();
         let deadline = self.relay.borrow().adoption_deadline();
+        let shutdown = self.relay.borrow().shutdown_notice.clone();
         let upstream = tokio::select! {
             biased;
             // Polled first, so that nothing is forwarded for a client that has disconnected.
@@ -58,6 +60,7 @@
             },
             upstream = reconnect(&self.relay, &self.request, &self.endpoint) => Some(upstream),
             () = timers.sleep_until(deadline) => None,
+            () = shutdown.given() => None,
         };
         let Some(upstream) = upstream else {
             self.relay.borrow_mut().record_unregistered_result(&self.request, RequestResult::Failed);
--- a/tests/migration_before_close.rs
+++ b/tests/migration_before_close.rs
@@ -111,3 +111,16 @@
     assert_eq!(count("OK\r\n") + count("MOVE\r\n"), 60, "{lines:?}");
     assert!(count("MOVE\r\n") > 0, "the link held all connections");
 }
+
+/// Guards against a client that waits for its connection to be adopted and that a shutdown leaves unanswered.
+#[test]
+fn a_client_that_waits_for_its_endpoint_to_return_is_answered_at_a_shutdown() {
+    let setup = RelaySetup::new("adoption");
+    let (mut relay, _) = setup.start("log");
+    let mut client = TcpStream::connect(setup.clients).expect("the relay accepts connections");
+    client.write_all(b"OPEN a1 k1 c=study,d=1200,at=s-9\r\n").expect("the request is sent");
+    std::thread::sleep(Duration::from_millis(200));
+    send_signal(&relay, "-TERM");
+    assert_eq!(relay.child.wait().expect("the process ends").code(), Some(0));
+    assert_eq!(next_lines(vec![BufReader::new(client)]), ["ERR\r\n"]);
+}
