Idle connections: new clients are not evicted for those that stopped half way

And idle connections were held to a quarter of the descriptors however many were free.

The share of a quarter counts only while descriptors are scarce; what a successor may use does not count as free, so both processes of an upgrade stay within the limit.

Two tests, both fail on: `new_clients_are_served_while_hundreds_of_clients_stop_half_way_through_their_request`, `connections_that_have_stopped_sending_are_evicted_before_new_ones_while_they_are_the_majority`.

--- a/src/relay/descriptors.rs
+++ b/src/relay/descriptors.rs
@@ -11,8 +11,8 @@
 const RESERVED_DESCRIPTORS: usize = 32;
 /// Number of free descriptors at or below which accepting pauses and no permit is granted.
 const MIN_FREE_DESCRIPTORS: usize = 12;
-/// Idle connections may hold at most one descriptor in this many; the rest is for established connections,
-/// which take two each.
+/// When descriptors are scarce, idle connections may hold at most one descriptor in this many; the rest is for
+/// established connections, which take two each.
 const IDLE_CONNECTIONS_DIVISOR: usize = 4;
 /// During a hot restart a process may use at least one descriptor in this many of the shared limit.
 const MIN_SHARE_DIVISOR: usize = 4;
@@ -78,7 +78,11 @@
     /// exhausted: the caller tries again once the evicted connection has been closed.
     pub(in crate::relay) fn make_room_for_idle_connection(&self) -> bool {
         let descriptor_limit = self.descriptor_limit();
-        if self.idle_connections.len() >= descriptor_limit / IDLE_CONNECTIONS_DIVISOR {
+        let idle_share = descriptor_limit / IDLE_CONNECTIONS_DIVISOR;
+        // A successor may use its share of the limit at any time, so that share does not count as free.
+        let available = descriptor_limit.saturating_sub(self.descriptors_in_use.get() + RESERVED_DESCRIPTORS);
+        let is_scarce = available <= self.max_descriptors / MIN_SHARE_DIVISOR;
+        if is_scarce && self.idle_connections.len() >= idle_share {
             self.idle_connections.evict_one();
         }
         let is_exhausted =
--- a/src/relay/endpoints/zone_failover.rs
+++ b/src/relay/endpoints/zone_failover.rs
@@ -13,8 +13,8 @@
 use tracing::info;
 
 use super::health_check::HealthCheckCommand;
-use crate::relay::lifecycle::config::Config;
 use crate::relay::Relay;
+use crate::relay::lifecycle::config::Config;
 use crate::settings::NameTable;
 
 /// Lowest price of cross-zone traffic while zone failover is enabled: the balancer then prefers the home zone
--- a/tests/idle_connections.rs
+++ b/tests/idle_connections.rs
@@ -71,3 +71,19 @@
     });
     assert_eq!(evicted, ["stopped", "sending"]);
 }
+
+/// Guards against new clients that are evicted, before they have sent anything, in favor of hundreds that have
+/// stopped in the middle of their request.
+#[test]
+fn connections_that_have_stopped_sending_are_evicted_before_new_ones_while_they_are_the_majority() {
+    let mut names = vec!["stopped"; 40];
+    names.extend(["new"; 30]);
+    let evicted = eviction_order(&names, |name, round, slot| {
+        if name == "stopped" && round == 0 {
+            slot.mark_receiving();
+        }
+    });
+    assert_eq!(evicted[..10], ["stopped"; 10]);
+    // A few senders are evicted last, whatever the number of new connections.
+    assert_eq!(evicted[evicted.len() - 16..], ["stopped"; 16]);
+}
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -110,6 +110,32 @@
     });
 }
 
+/// Guards against new clients that are closed unanswered while hundreds of others have stopped in the middle of
+/// their request.
+#[test]
+fn new_clients_are_served_while_hundreds_of_clients_stop_half_way_through_their_request() {
+    run_case(async {
+        let (endpoint, address) = listen().await;
+        spawn_local(accepting_endpoint(endpoint, Rc::default()));
+        // Several endpoints, so that all new clients together are no more than the balancer admits.
+        let endpoints = ["s-1", "s-2", "s-3", "s-4", "s-5"].map(|id| (id, address, "active"));
+        let relay = Relay::start(&endpoints, 256).await;
+        let mut stopped = Vec::new();
+        for id in 0..400 {
+            stopped.push(relay.client(&format!("OPEN s{id} k{id} c=st")).await);
+        }
+        let mut new_clients = Vec::new();
+        for _ in 0..30 {
+            new_clients.push(relay.client("").await);
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        for (id, mut client) in new_clients.into_iter().enumerate() {
+            send(&mut client, &open_request(&format!("n{id}"))).await;
+            assert_eq!(receive_line(&mut client).await, "UP r1\r\n", "client {id}");
+        }
+    });
+}
+
 #[test]
 fn a_duplicate_id_or_many_requests_at_once_get_one_error_and_nothing_is_forwarded() {
     run_case(async {
