--- a/src/relay/connections/handshake.rs
+++ b/src/relay/connections/handshake.rs
@@ -110,7 +110,13 @@
             }
             let shutting_down = self.relay.borrow().is_shutting_down();
             let response = if shutting_down { protocol::REJECTED } else { protocol::PONG };
-            if self.downstream.stream.write_all(response).await.is_err() {
+            let sent = tokio::select! {
+                biased;
+                sent = self.downstream.stream.write_all(response) => sent,
+                // The client does not read the responses.
+                () = timers.sleep_until(deadline) => return Ok(HandshakeResult::Expired),
+            };
+            if sent.is_err() {
                 return Ok(HandshakeResult::Disconnected);
             }
             pinged = true;
