Balancer: what is remembered of a client does not grow with its session key

Cause: the sticky endpoint of a client, and the endpoint that it was migrated from, were kept under the key itself, which may be as long as a request. The limit of 20,000 entries bounds their number, not their size: 80 MB.

Change: both are kept under a hash of the key, the one by which endpoints are ranked for the client. Affinity groups and connection ids are kept for open connections only.

--- a/crates/balancer/src/affinity.rs
+++ b/crates/balancer/src/affinity.rs
@@ -52,19 +52,19 @@
 }
 
 impl Balancer {
-    pub(crate) fn set_sticky_endpoint(&mut self, now: Micros, key: SessionKey, endpoint: EndpointId) {
-        self.sticky_endpoints.insert(key, StickyEndpoint { endpoint, established_at: now });
+    pub(crate) fn set_sticky_endpoint(&mut self, now: Micros, key: &SessionKey, endpoint: EndpointId) {
+        self.sticky_endpoints.insert(key.hash(), StickyEndpoint { endpoint, established_at: now });
     }
 
     /// Returns the endpoint of the client's last connection if the request may go there.
     ///
     /// A mid-flow request may also go to an endpoint that began to drain only recently.
     pub(crate) fn sticky_endpoint(&self, state: &RequestState, now: Micros) -> Option<EndpointId> {
-        let key = state.request.session_key.as_ref()?;
-        if self.migrated_clients.contains_key(key) {
+        let key = state.request.session_key.as_ref()?.hash();
+        if self.migrated_clients.contains_key(&key) {
             return None;
         }
-        let id = &self.sticky_endpoints.get(key)?.endpoint;
+        let id = &self.sticky_endpoints.get(&key)?.endpoint;
         let record = self.endpoints.get(id)?;
         let accepts_mid_flow = state.request.mid_flow && self.is_in_drain_grace(record, now);
         let may_go_there = (record.is_ready() || accepts_mid_flow)
--- a/crates/balancer/src/balancer.rs
+++ b/crates/balancer/src/balancer.rs
@@ -28,6 +28,7 @@
 use crate::discovery::MAX_INITIAL_DISCOVERY_DELAY;
 use crate::endpoint_record::EndpointRecord;
 use crate::fleet_estimate::FleetEstimate;
+use crate::ids::SessionKeyHash;
 use crate::load_estimate::ConnectionLoads;
 use crate::migration::MigratedClient;
 use crate::request_state::RequestState;
@@ -36,7 +37,7 @@
 use crate::unreported_load::AdaptiveThrottle;
 use crate::{
     Action, AffinityGroup, DiscoveryMode, EndpointId, EndpointState, Event, Micros, RequestClass, RequestId,
-    SessionKey, Settings, TimerToken,
+    Settings, TimerToken,
 };
 
 /// Interval of the periodic work. It is short enough to pace migrations within a drain of a few seconds.
@@ -60,9 +61,9 @@
     pub(crate) requests: BTreeMap<RequestId, RequestState>,
     /// Requests that wait for health checks or a timer.
     pub(crate) pending_requests: BTreeSet<RequestId>,
-    pub(crate) sticky_endpoints: BTreeMap<SessionKey, StickyEndpoint>,
+    pub(crate) sticky_endpoints: BTreeMap<SessionKeyHash, StickyEndpoint>,
     /// Clients whose connection was migrated and that have not reconnected yet.
-    pub(crate) migrated_clients: BTreeMap<SessionKey, MigratedClient>,
+    pub(crate) migrated_clients: BTreeMap<SessionKeyHash, MigratedClient>,
     /// Number of this balancer's established connections per affinity group; groups without any are absent.
     pub(crate) group_connections: BTreeMap<AffinityGroup, usize>,
     /// Number of this balancer's established connections.
--- a/crates/balancer/src/ids.rs
+++ b/crates/balancer/src/ids.rs
@@ -2,6 +2,10 @@
 
 use std::sync::Arc;
 
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::rendezvous::SESSION_KEY_HASH_SEED;
+
 /// Microseconds: a point in time on the caller's clock, or a duration.
 pub type Micros = u64;
 
@@ -21,6 +25,17 @@
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct SessionKey(pub Arc<str>);
 
+impl SessionKey {
+    /// Returns the hash by which the balancer remembers the client and ranks endpoints for it.
+    pub(crate) fn hash(&self) -> SessionKeyHash {
+        SessionKeyHash(xxh3_64_with_seed(self.0.as_bytes(), SESSION_KEY_HASH_SEED))
+    }
+}
+
+/// Hash of a [`SessionKey`]. What is remembered of a client takes the same space whatever key it has chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct SessionKeyHash(pub(crate) u64);
+
 /// Identifies an affinity group: connections that share work when they are on the same endpoint.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct AffinityGroup(pub Arc<str>);
--- a/crates/balancer/src/migration.rs
+++ b/crates/balancer/src/migration.rs
@@ -116,7 +116,7 @@
         let Some(state) = self.requests.get(&id) else { return };
         if let (Some(key), Some(from)) = (&state.request.session_key, &state.attempt_endpoint) {
             let client = MigratedClient { from: from.clone(), migrated_at: now };
-            self.migrated_clients.insert(key.clone(), client);
+            self.migrated_clients.insert(key.hash(), client);
         }
         actions.push(Action::Migrate(id));
         self.release(id);
--- a/crates/balancer/src/ranking.rs
+++ b/crates/balancer/src/ranking.rs
@@ -1,17 +1,16 @@
 //! Ranking of the endpoints for a request.
 
 use rand::Rng;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::admission::{FULL_LOAD, FULL_LOAD_TOP_CLASS};
 use crate::affinity::group_salt;
 use crate::balancer::Balancer;
 use crate::endpoint_record::EndpointRecord;
 use crate::health_check::HEALTH_CHECK_SAMPLE;
-use crate::rendezvous::{SESSION_KEY_HASH_SEED, rendezvous_score};
+use crate::rendezvous::rendezvous_score;
 use crate::request_state::RequestState;
 use crate::unreported_load::is_unreported;
-use crate::{EndpointId, Micros, Request};
+use crate::{EndpointId, Micros, Request, SessionKey};
 
 /// Maximum number of endpoints in a ranking.
 const MAX_RANKED_ENDPOINTS: usize = HEALTH_CHECK_SAMPLE * 2;
@@ -60,10 +59,8 @@
     /// It is random for a client without a key, and for one whose connection was migrated, so that it goes to
     /// a random endpoint of its group.
     fn client_salt(&mut self, request: &Request) -> u64 {
-        match &request.session_key {
-            Some(key) if !self.migrated_clients.contains_key(key) => {
-                xxh3_64_with_seed(key.0.as_bytes(), SESSION_KEY_HASH_SEED)
-            }
+        match request.session_key.as_ref().map(SessionKey::hash) {
+            Some(hash) if !self.migrated_clients.contains_key(&hash) => hash.0,
             _ => self.rng.random(),
         }
     }
@@ -71,7 +68,7 @@
     /// Returns all endpoints that a request may be sent to, by ascending local score.
     fn candidates(&self, state: &RequestState, client_salt: u64, now: Micros) -> Vec<Candidate<'_>> {
         let request = &state.request;
-        let migrated = request.session_key.as_ref().and_then(|key| self.migrated_clients.get(key));
+        let migrated = request.session_key.as_ref().and_then(|key| self.migrated_clients.get(&key.hash()));
         let salt = group_salt(request);
         let copy_cost = self.group_copy_cost(request);
         let mut candidates = Vec::with_capacity(self.endpoints.len());
--- a/crates/balancer/src/request_state.rs
+++ b/crates/balancer/src/request_state.rs
@@ -110,7 +110,7 @@
             }
         }
         if let Some(key) = session_key {
-            self.set_sticky_endpoint(now, key, endpoint);
+            self.set_sticky_endpoint(now, &key, endpoint);
         }
     }
 
--- a/crates/balancer/src/routing.rs
+++ b/crates/balancer/src/routing.rs
@@ -61,7 +61,7 @@
     ) {
         self.record_placement(now, &state, &endpoint);
         if let Some(key) = &state.request.session_key {
-            self.migrated_clients.remove(key);
+            self.migrated_clients.remove(&key.hash());
         }
         let objective =
             self.class(&state).map_or(state.request.time_remaining, |class| class.latency_objective);
--- a/tests/flooding_clients.rs
+++ b/tests/flooding_clients.rs
@@ -6,7 +6,7 @@
 mod process;
 
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::{sleep, spawn};
@@ -76,3 +76,35 @@
     stop.store(true, Ordering::Relaxed);
     flood.join().expect("the client does not panic");
 }
+
+/// Returns the resident memory of a process in KiB.
+fn resident_kib(process_id: u32) -> u64 {
+    let status =
+        std::fs::read_to_string(format!("/proc/{process_id}/status")).expect("the status is readable");
+    let line = status.lines().find(|line| line.starts_with("VmRSS:")).expect("a resident size");
+    line.split_whitespace().nth(1).and_then(|size| size.parse().ok()).expect("a size in KiB")
+}
+
+/// Guards against memory that grows with the length of the names that clients choose.
+#[test]
+fn memory_does_not_grow_with_long_names_that_are_new_on_every_connection() {
+    const CONNECTIONS: u64 = 4_000;
+    /// What may be remembered of a client, in KiB.
+    const KIB_PER_CLIENT: u64 = 1;
+    /// Buffers of the connections that are open at a time, in KiB.
+    const BUFFERS_KIB: u64 = 4_096;
+    let endpoints = endpoint_list([start_fast_endpoint(); 3]);
+    let setup = RelaySetup::with_discovery("names", &endpoints, unused_address());
+    let (relay, _) = setup.start("log");
+    let resident_at_start = resident_kib(relay.child.id());
+    for number in 0..CONNECTIONS {
+        let mut client = TcpStream::connect(setup.clients).expect("the relay accepts connections");
+        write!(client, "OPEN n{number} k{number:0>3900} c=study,d=1200,g=g{number}\r\n")
+            .expect("the request is sent");
+        let mut answer = String::new();
+        BufReader::new(client).read_line(&mut answer).expect("the answer is read");
+        assert!(answer.starts_with("UP"), "{answer}");
+    }
+    let growth = resident_kib(relay.child.id()).saturating_sub(resident_at_start);
+    assert!(growth < CONNECTIONS * KIB_PER_CLIENT + BUFFERS_KIB, "grew by {growth} KiB");
+}
