Line relay: a client's reset ends its connection before its unread lines

Cause: the relay does not read from a client while an endpoint is slow to take its lines, and the kernel delivers unread bytes before it reports a reset. So a reset was seen only after all that the client had left behind was relayed, or when a write to the client failed; and then the bytes in flight were still sent for up to 600 ms.

Change: an established connection waits for the client's reset apart from its lines (`Interest::ERROR`), drops what is in flight and resets the endpoint's side at once. The kernel's buffers for unread bytes of a client, and for bytes that an endpoint has not taken, are 64 KiB instead of several MB, so that a client that has left has less on the way and takes less of the kernel's memory.

--- a/src/relay/connections/attempt.rs
+++ b/src/relay/connections/attempt.rs
@@ -7,7 +7,7 @@
 use bytes::BytesMut;
 use honeyknot_balancer::{EndpointId, LoadReport, Micros, Outcome};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 
 use super::protocol::{self, EndpointLine, MICROS_PER_MILLISECOND, OpenRequest, load_report_value};
 use crate::relay::{AttemptRequest, SharedRelay};
@@ -15,6 +15,9 @@
 /// Initial size of the buffer for a response, in bytes.
 const RESPONSE_BUFFER_BYTES: usize = 512;
 
+/// Size of the kernel's buffer for bytes that an endpoint has not taken yet, in bytes.
+const SEND_BUFFER_BYTES: u32 = 64 * 1024;
+
 /// A connection to an endpoint and the bytes received on it.
 pub(super) struct UpstreamStream {
     pub(super) stream: TcpStream,
@@ -44,7 +47,7 @@
     let timers = relay.borrow().timers.clone();
     let connect_timeout = relay.borrow().connect_timeout();
     let connected = tokio::select! {
-        connected = TcpStream::connect(attempt.address) => connected,
+        connected = open_socket(attempt.address) => connected,
         () = timers.sleep(connect_timeout) => Err(io::ErrorKind::TimedOut.into()),
     };
     if connected.as_ref().is_err_and(|error| error.kind() == io::ErrorKind::ConnectionRefused) {
@@ -57,7 +60,6 @@
     let Some(mut upstream) = connected.ok().filter(|_| may_send()) else {
         return AttemptResult::Failed(Outcome::ConnectFailed, None);
     };
-    let _ = upstream.set_nodelay(true);
     let remaining_ms = deadline.saturating_sub(timers.clock.now()) / MICROS_PER_MILLISECOND;
     if forward_request(&mut upstream, request, remaining_ms.max(1)).await.is_err() {
         return AttemptResult::Failed(Outcome::ConnectFailed, None);
@@ -72,12 +74,11 @@
 pub(super) async fn reconnect(
     relay: &SharedRelay, request: &OpenRequest, endpoint: &EndpointId, address: SocketAddr,
 ) -> Option<UpstreamStream> {
-    let mut upstream = TcpStream::connect(address).await.ok()?;
+    let mut upstream = open_socket(address).await.ok()?;
     // An operator may have put the endpoint into maintenance in the meantime.
     if relay.borrow().in_maintenance(endpoint) {
         return None;
     }
-    let _ = upstream.set_nodelay(true);
     upstream.write_all(request.as_bytes()).await.ok()?;
     relay.borrow_mut().record_forwarded(request);
     match read_response(relay, upstream).await {
@@ -86,6 +87,16 @@
     }
 }
 
+/// Connects a socket to an endpoint.
+async fn open_socket(address: SocketAddr) -> io::Result<TcpStream> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    // Without these options, the kernel's defaults apply.
+    let _ = socket.set_send_buffer_size(SEND_BUFFER_BYTES);
+    let stream = socket.connect(address).await?;
+    let _ = stream.set_nodelay(true);
+    Ok(stream)
+}
+
 /// Writes the request with the time remaining replaced by this number of milliseconds.
 async fn forward_request(
     upstream: &mut TcpStream, request: &OpenRequest, remaining_ms: u64,
--- a/src/relay/connections/line_relay.rs
+++ b/src/relay/connections/line_relay.rs
@@ -5,6 +5,7 @@
 
 use bytes::BytesMut;
 use honeyknot_balancer::{Micros, RequestId};
+use tokio::io::Interest;
 use tokio::sync::mpsc::UnboundedReceiver;
 
 use super::client_stream::BUFFER_BYTES;
@@ -176,6 +177,13 @@
                         self.read_upstream();
                     }
                 }
+                // A reset is noticed while unread lines of the client remain; reading them all first would relay
+                // them for a client that has left.
+                ready = self.streams.downstream.ready(Interest::ERROR), if self.downstream_closed.is_none() => {
+                    if ready.is_ok() {
+                        self.downstream_reset();
+                    }
+                }
                 ready = self.streams.downstream.readable(), if self.can_read_downstream() => {
                     if ready.is_ok() {
                         reads += 1;
@@ -238,7 +246,7 @@
         let now = self.timers.clock.now();
         let flush_overdue = |since: Micros| now >= since + FLUSH_TIMEOUT;
         if let Some(closed) = self.downstream_closed
-            && (self.to_upstream.is_empty() || flush_overdue(closed.at))
+            && (closed.kind == CloseKind::Reset || self.to_upstream.is_empty() || flush_overdue(closed.at))
         {
             return Some(ConnectionEnd::DownstreamClosed(closed.kind));
         }
@@ -310,6 +318,12 @@
         self.to_downstream.push(bytes);
     }
 
+    fn downstream_reset(&mut self) {
+        let closed = SideClosed { kind: CloseKind::Reset, at: self.timers.clock.now() };
+        self.downstream_closed = Some(closed);
+        self.to_upstream.clear();
+    }
+
     fn read_downstream(&mut self) {
         self.to_upstream.reserve(BUFFER_BYTES);
         let now = self.timers.clock.now();
--- a/src/relay/connections/listener.rs
+++ b/src/relay/connections/listener.rs
@@ -15,6 +15,9 @@
 const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(20);
 /// Pause until an evicted connection has released its descriptor.
 const EVICTION_INTERVAL: Duration = Duration::from_millis(1);
+/// Size of the kernel's buffer for unread bytes of a client, in bytes, which bounds what a client can have
+/// unread when it leaves and the memory that it takes.
+const RECEIVE_BUFFER_BYTES: u32 = 64 * 1024;
 /// Maximum number of connections that wait to be accepted.
 const LISTEN_BACKLOG: u32 = 1024;
 
@@ -27,6 +30,8 @@
     let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
     // Lets a relay that is restarted bind its address while its old connections are in TIME_WAIT.
     socket.set_reuseaddr(true)?;
+    // Without this option, the kernel's larger default applies.
+    let _ = socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
     socket.bind(address)?;
     socket.listen(LISTEN_BACKLOG)
 }
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -6,14 +6,14 @@
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use loopback::{
     OPEN, Relay, accept_connection, accept_request, config, config_text, endpoint_list, establish_connection,
     listen, open_request, read_config, receive_line, receive_to_end, respond, run_case, send,
 };
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::spawn_local;
 
 #[test]
@@ -110,6 +110,43 @@
     });
 }
 
+/// Listens with small kernel buffers, so that little is on its way to an endpoint that is slow to read.
+async fn listen_with_small_buffers() -> (TcpListener, SocketAddr) {
+    let socket = TcpSocket::new_v4().expect("the socket is created");
+    socket.set_recv_buffer_size(8 * 1024).expect("the socket option is set");
+    socket.bind("127.0.0.1:0".parse().expect("a valid address")).expect("a free port");
+    let listener = socket.listen(64).expect("the socket listens");
+    let address = listener.local_addr().expect("the listener has an address");
+    (listener, address)
+}
+
+/// Guards against lines that are relayed for a client that has reset its connection, because they were unread
+/// when it did.
+#[test]
+fn unread_lines_of_a_client_that_resets_its_connection_are_not_relayed() {
+    run_case(async {
+        let (endpoint, address) = listen_with_small_buffers().await;
+        let relay = Relay::start(&[("s-1", address, "active")], 256).await;
+        let (client, upstream) = establish_connection(&relay, &endpoint).await;
+        let mut client = client.into_inner();
+        let end = spawn_local(async move {
+            let mut upstream = upstream.into_inner();
+            while upstream.read(&mut vec![0; 8 * 1024]).await.is_ok_and(|length| length > 0) {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+            Instant::now()
+        });
+        let lines = "card 1\r\n".repeat(1_000);
+        let flood = async { while client.write_all(lines.as_bytes()).await.is_ok() {} };
+        let _ = tokio::time::timeout(Duration::from_secs(1), flood).await;
+        client.set_zero_linger().expect("the socket option is set");
+        drop(client);
+        let reset_at = Instant::now();
+        let elapsed = end.await.expect("the endpoint does not panic").duration_since(reset_at);
+        assert!(elapsed < Duration::from_millis(500), "lines were relayed for {elapsed:?} after the reset");
+    });
+}
+
 /// Guards against new clients that are closed unanswered while hundreds of others have stopped in the middle of
 /// their request.
 #[test]
