Connection ids: a request that must not run twice is not sent again with its id

Cause: the only protection was the set of open ids, which forgets an id as its connection ends, and which each process has for itself.

Change: an id counts as used once its request has been sent and no endpoint has rejected it. A predecessor sends all of them before the handover, and from then on each process tells the other every further one; an attempt checks once more just before it is sent. The messages are sent only to a process that has announced that it knows them (`remembers` in `hello`). Idempotent requests may run again, as before.

--- a/src/relay/connection_events.rs
+++ b/src/relay/connection_events.rs
@@ -13,7 +13,7 @@
 use super::endpoints::message_latency::LatencySource;
 use super::metrics::labels::RejectionReason;
 use super::metrics::recorder::RequestResult;
-use super::{ConnectionCommand, Relay};
+use super::{ConnectionCommand, ConnectionIdGuard, Relay};
 
 /// The id of a registered connection and the queue on which its task receives commands.
 type RegisteredConnection = (RequestId, UnboundedReceiver<ConnectionCommand>);
@@ -104,6 +104,15 @@
         })
     }
 
+    /// Records that a request has been sent to an endpoint. If it must not run twice, the other process of a hot
+    /// restart is told its id.
+    pub fn request_sent(&mut self, open: &OpenRequest, connection_id: &ConnectionIdGuard) {
+        self.record_forwarded(open);
+        if let Some(id) = connection_id.mark_sent() {
+            self.listener_ownership.send_used_id(id);
+        }
+    }
+
     /// Reports that an endpoint has accepted the connection.
     pub fn connection_established(&mut self, id: RequestId) {
         let Some(entry) = self.connections.get_mut(id) else { return };
--- a/src/relay/connection_table.rs
+++ b/src/relay/connection_table.rs
@@ -1,9 +1,6 @@
-//! The connections that the relay serves, pending and established, and the connection ids that clients have
-//! open.
+//! The connections that the relay serves, pending and established.
 
-use std::cell::RefCell;
-use std::collections::{BTreeMap, BTreeSet};
-use std::rc::Rc;
+use std::collections::BTreeMap;
 
 use honeyknot_balancer::{AffinityGroup, AttemptId, ClassId, EndpointId, Micros, RequestId};
 use tokio::sync::mpsc::UnboundedSender;
@@ -120,34 +117,3 @@
         self.entries.iter().find(|(_, entry)| matches(entry)).map(|(id, _)| *id)
     }
 }
-
-/// The connection ids that clients have open.
-#[derive(Clone, Debug, Default)]
-pub(in crate::relay) struct OpenConnectionIds(Rc<RefCell<BTreeSet<Rc<str>>>>);
-
-impl OpenConnectionIds {
-    /// Reserves an id until the returned guard is dropped; returns `None` if it is already open.
-    pub(in crate::relay) fn reserve(&self, id: &str) -> Option<ConnectionIdGuard> {
-        let id: Rc<str> = id.into();
-        let inserted = self.0.borrow_mut().insert(id.clone());
-        inserted.then(|| ConnectionIdGuard { open_connection_ids: self.clone(), id })
-    }
-
-    /// Returns how many ids are open.
-    pub(in crate::relay) fn count(&self) -> usize {
-        self.0.borrow().len()
-    }
-}
-
-/// A reserved connection id of a client; dropping the guard releases it.
-#[derive(Debug)]
-pub struct ConnectionIdGuard {
-    open_connection_ids: OpenConnectionIds,
-    id: Rc<str>,
-}
-
-impl Drop for ConnectionIdGuard {
-    fn drop(&mut self) {
-        self.open_connection_ids.0.borrow_mut().remove(&self.id);
-    }
-}
--- a/src/relay/connections/adoption.rs
+++ b/src/relay/connections/adoption.rs
@@ -58,7 +58,7 @@
                 }
                 ClientActivity::SentData => None,
             },
-            upstream = reconnect(&self.relay, &self.request, &self.endpoint) => Some(upstream),
+            upstream = reconnect(&self.relay, &self.request, &self.connection_id, &self.endpoint) => Some(upstream),
             () = timers.sleep_until(deadline) => None,
             () = shutdown.given() => None,
         };
@@ -90,7 +90,9 @@
 }
 
 /// Repeats attempts to connect until the endpoint accepts the connection.
-async fn reconnect(relay: &SharedRelay, request: &OpenRequest, endpoint: &EndpointId) -> UpstreamStream {
+async fn reconnect(
+    relay: &SharedRelay, request: &OpenRequest, connection_id: &ConnectionIdGuard, endpoint: &EndpointId,
+) -> UpstreamStream {
     let timers = relay.borrow().timers.clone();
     loop {
         // Nothing is sent to an endpoint in maintenance, not even a connection that was established there.
@@ -98,7 +100,7 @@
             relay.borrow().endpoint_address(endpoint).filter(|_| !relay.borrow().in_maintenance(endpoint));
         if let Some(address) = address {
             let upstream = tokio::select! {
-                upstream = attempt::reconnect(relay, request, endpoint, address) => upstream,
+                upstream = attempt::reconnect(relay, request, connection_id, endpoint, address) => upstream,
                 () = timers.sleep(ATTEMPT_TIMEOUT) => None,
             };
             if let Some(upstream) = upstream {
--- a/src/relay/connections/attempt.rs
+++ b/src/relay/connections/attempt.rs
@@ -10,7 +10,7 @@
 use tokio::net::{TcpSocket, TcpStream};
 
 use super::protocol::{self, EndpointLine, MICROS_PER_MILLISECOND, OpenRequest, load_report_value};
-use crate::relay::{AttemptRequest, SharedRelay};
+use crate::relay::{AttemptRequest, ConnectionIdGuard, SharedRelay};
 
 /// Initial size of the buffer for a response, in bytes.
 const RESPONSE_BUFFER_BYTES: usize = 512;
@@ -38,11 +38,12 @@
 /// Makes an attempt at an endpoint.
 ///
 /// `deadline`, in Unix microseconds, only determines the time remaining that is sent to the endpoint: the
-/// caller ends the attempt. `request_sent` is set once the whole request has been written; before that the
+/// caller ends the attempt. Nothing is sent if another request with this connection id has been sent in the
+/// meantime and may not be repeated. `request_sent` is set once the whole request has been written; before that the
 /// endpoint cannot have processed it.
 pub(super) async fn connect(
-    relay: &SharedRelay, request: &OpenRequest, attempt: &AttemptRequest, deadline: Micros,
-    request_sent: &Cell<bool>,
+    relay: &SharedRelay, request: &OpenRequest, connection_id: &ConnectionIdGuard, attempt: &AttemptRequest,
+    deadline: Micros, request_sent: &Cell<bool>,
 ) -> AttemptResult {
     let timers = relay.borrow().timers.clone();
     let connect_timeout = relay.borrow().connect_timeout();
@@ -56,7 +57,11 @@
     // While the attempt was connecting, the endpoint may have started to drain, and the period in which
     // endpoints recognize a repeated attempt may have ended.
     let in_time = |now| attempt.send_before.is_none_or(|send_before| now < send_before);
-    let may_send = || relay.borrow().may_send_to(&attempt.endpoint) && in_time(timers.clock.now());
+    let may_send = || {
+        connection_id.may_be_sent()
+            && relay.borrow().may_send_to(&attempt.endpoint)
+            && in_time(timers.clock.now())
+    };
     let Some(mut upstream) = connected.ok().filter(|_| may_send()) else {
         return AttemptResult::Failed(Outcome::ConnectFailed, None);
     };
@@ -65,14 +70,15 @@
         return AttemptResult::Failed(Outcome::ConnectFailed, None);
     }
     request_sent.set(true);
-    relay.borrow_mut().record_forwarded(request);
+    relay.borrow_mut().request_sent(request, connection_id);
     read_response(relay, upstream).await
 }
 
 /// Makes one attempt to connect a connection that was established before the relay started to its endpoint
 /// again. Returns `None` if the attempt failed.
 pub(super) async fn reconnect(
-    relay: &SharedRelay, request: &OpenRequest, endpoint: &EndpointId, address: SocketAddr,
+    relay: &SharedRelay, request: &OpenRequest, connection_id: &ConnectionIdGuard, endpoint: &EndpointId,
+    address: SocketAddr,
 ) -> Option<UpstreamStream> {
     let mut upstream = open_socket(address).await.ok()?;
     // An operator may have put the endpoint into maintenance in the meantime.
@@ -80,7 +86,7 @@
         return None;
     }
     upstream.write_all(request.as_bytes()).await.ok()?;
-    relay.borrow_mut().record_forwarded(request);
+    relay.borrow_mut().request_sent(request, connection_id);
     match read_response(relay, upstream).await {
         AttemptResult::Established(upstream) => Some(upstream),
         AttemptResult::Completed(_) | AttemptResult::Failed(..) => None,
--- a/src/relay/connections/handshake.rs
+++ b/src/relay/connections/handshake.rs
@@ -61,12 +61,14 @@
     /// `None`.
     async fn validate(self, request: OpenRequest) -> Option<ValidRequest> {
         let reserved = self.relay.borrow().reserve_connection_id(&request);
-        let Some(connection_id) = reserved else {
-            let error = "connection id is already open, or class is unknown";
-            debug!(target: "client", error, "invalid request, closing connection");
-            self.relay.borrow_mut().record_unregistered_result(&request, RequestResult::Failed);
-            self.respond_and_close(protocol::FAILED).await;
-            return None;
+        let connection_id = match reserved {
+            Ok(connection_id) => connection_id,
+            Err(error) => {
+                debug!(target: "client", %error, "invalid request, closing connection");
+                self.relay.borrow_mut().record_unregistered_result(&request, RequestResult::Failed);
+                self.respond_and_close(protocol::FAILED).await;
+                return None;
+            }
         };
         // Releases the idle slot first, so that this connection is not the one evicted to admit its own
         // request.
--- a/src/relay/connections/opening.rs
+++ b/src/relay/connections/opening.rs
@@ -139,6 +139,9 @@
 
     /// Reports a failed attempt; the client still waits for its response.
     fn attempt_failed(&self, outcome: Outcome, report: Option<LoadReport>) {
+        if outcome == Outcome::Rejected {
+            self.connection_id.mark_rejected();
+        }
         self.relay.borrow_mut().attempt_ended(self.guard.id, outcome, false, report);
     }
 
@@ -153,7 +156,14 @@
         let timers = self.downstream.timers.clone();
         let request_sent = Cell::new(false);
         let deadline = timers.clock.now().saturating_add(attempt.timeout);
-        let connect = attempt::connect(&self.relay, &self.request, attempt, deadline, &request_sent);
+        let connect = attempt::connect(
+            &self.relay,
+            &self.request,
+            &self.connection_id,
+            attempt,
+            deadline,
+            &request_sent,
+        );
         tokio::pin!(connect);
         loop {
             tokio::select! {
--- a/src/relay/connections/restore.rs
+++ b/src/relay/connections/restore.rs
@@ -38,7 +38,7 @@
         ConnectionTransfer { snapshot, downstream, upstream, resources }.migrate(&timers);
         return Err(io::Error::other("no free descriptors, or its request is not valid"));
     };
-    let connection_id = relay.borrow().reserve_connection_id(&request);
+    let connection_id = relay.borrow().reserve_transferred_id(&request).ok();
     let endpoint = EndpointId(snapshot.endpoint.as_str().into());
     let registered = relay.borrow_mut().restore_connection(&request, endpoint);
     let (Some(connection_id), Some((id, commands))) = (connection_id, registered) else {
--- a/src/relay/lifecycle/hot_restart/link.rs
+++ b/src/relay/lifecycle/hot_restart/link.rs
@@ -15,6 +15,7 @@
 use crate::relay::connections::{self, ConnectionSnapshot, ConnectionTransfer, listener};
 use crate::relay::notice::Notice;
 use crate::relay::timer_wheel::Timers;
+use crate::relay::used_ids::ConnectionIdHash;
 
 /// Interval at which the predecessor reports its number of descriptors, in microseconds.
 const DESCRIPTOR_REPORT_INTERVAL: Micros = 500_000;
@@ -148,6 +149,7 @@
             HotRestartMessage::Confirmed { number } => {
                 self.relay.borrow_mut().confirm_maintenance_change(number);
             }
+            HotRestartMessage::UsedIds { ids } => self.receive_used_ids(ids),
             HotRestartMessage::Connection(snapshot) => self.receive_connection(snapshot),
             HotRestartMessage::DescriptorsInUse { descriptors } => {
                 self.set_peer_descriptors(|_| descriptors);
@@ -163,6 +165,14 @@
         info!(target: "hot_restart", "handed over to the successor");
     }
 
+    fn receive_used_ids(&self, ids: Vec<ConnectionIdHash>) {
+        let mut relay = self.relay.borrow_mut();
+        relay.connection_ids.add_used(ids);
+        if let Some(link) = &mut relay.listener_ownership.link {
+            link.peer_receives_used_ids = true;
+        }
+    }
+
     /// Restores a connection that the predecessor has transferred.
     fn receive_connection(&mut self, snapshot: ConnectionSnapshot) {
         let sockets = (self.channel.take_descriptor(), self.channel.take_descriptor());
--- a/src/relay/lifecycle/hot_restart/message.rs
+++ b/src/relay/lifecycle/hot_restart/message.rs
@@ -4,6 +4,7 @@
 
 use super::maintenance_state::MaintenanceState;
 use crate::relay::connections::ConnectionSnapshot;
+use crate::relay::used_ids::ConnectionIdHash;
 
 /// A message between a running process and its successor.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -15,6 +16,9 @@
         /// and read nothing before they take over.
         #[serde(rename = "follows", default, skip_serializing_if = "std::ops::Not::not")]
         receives_changes: bool,
+        /// Whether the successor handles [`HotRestartMessage::UsedIds`]. Earlier versions do not send this field.
+        #[serde(rename = "remembers", default, skip_serializing_if = "std::ops::Not::not")]
+        receives_used_ids: bool,
     },
     /// Predecessor to successor, with the descriptor of the listening socket: the state to take over.
     State {
@@ -63,6 +67,14 @@
     /// established connection.
     #[serde(rename = "session")]
     Connection(ConnectionSnapshot),
+    /// Connection ids of requests that have been sent and must not run again. A predecessor sends all that it
+    /// knows before the handover, in several messages, and each process then sends every further one. A
+    /// successor sends none before it has received this message, which earlier versions do not know.
+    #[serde(rename = "ran")]
+    UsedIds {
+        /// Hashes of the ids.
+        ids: Vec<ConnectionIdHash>,
+    },
     /// A maintenance change is in effect in the process that sends this.
     #[serde(rename = "done")]
     Confirmed {
--- a/src/relay/lifecycle/hot_restart/ownership.rs
+++ b/src/relay/lifecycle/hot_restart/ownership.rs
@@ -12,10 +12,14 @@
 use crate::relay::Relay;
 use crate::relay::connections::ConnectionTransfer;
 use crate::relay::notice::Notice;
+use crate::relay::used_ids::ConnectionIdHash;
 
 /// Descriptors that a process uses beyond those that it counts.
 const UNCOUNTED_DESCRIPTORS: usize = 16;
 
+/// Number of used ids in one message.
+const USED_IDS_PER_MESSAGE: usize = 1_024;
+
 /// A command to the task that runs the link. Commands are executed in order.
 #[derive(Debug)]
 pub(super) enum LinkCommand {
@@ -62,6 +66,8 @@
     /// Whether the other process handles maintenance changes now. A successor of an earlier version does not
     /// before it has taken over.
     pub(super) peer_receives_changes: bool,
+    /// Whether the other process is told the ids of requests that must not run again.
+    pub(super) peer_receives_used_ids: bool,
     /// Maintenance changes that the other process has not confirmed yet.
     pub(super) unconfirmed: Vec<UnconfirmedChange>,
     /// In a successor that has requested the takeover: notified when the predecessor has handed over.
@@ -76,6 +82,14 @@
         let _ = self.commands.send(LinkCommand::Send(message));
     }
 
+    /// Queues all used ids, at least one message, which tells the other process that this one handles them too.
+    fn send_used_ids(&self, ids: &[ConnectionIdHash]) {
+        self.send(HotRestartMessage::UsedIds { ids: Vec::new() });
+        for ids in ids.chunks(USED_IDS_PER_MESSAGE) {
+            self.send(HotRestartMessage::UsedIds { ids: ids.to_vec() });
+        }
+    }
+
     /// Returns whether this process keeps its own change of an endpoint's maintenance when the other process
     /// sends another state of it.
     ///
@@ -108,6 +122,13 @@
         predecessor.map_or(0, |link| link.peer_descriptors + UNCOUNTED_DESCRIPTORS)
     }
 
+    /// Tells the other process, if there is one, that a request which must not run again has been sent.
+    pub fn send_used_id(&self, id: ConnectionIdHash) {
+        if let Some(link) = self.link.as_ref().filter(|link| link.peer_receives_used_ids) {
+            link.send(HotRestartMessage::UsedIds { ids: vec![id] });
+        }
+    }
+
     /// Returns whether another process of this relay accepts its clients.
     pub fn handed_over(&self) -> bool {
         self.link.as_ref().is_some_and(|link| link.stage == RestartStage::HandedOver)
@@ -124,6 +145,7 @@
             commands,
             stage,
             peer_receives_changes,
+            peer_receives_used_ids: false,
             unconfirmed: Vec::new(),
             handed_over: None,
             peer_descriptors: 0,
@@ -145,10 +167,14 @@
     pub(super) fn hand_over(&mut self) {
         let (maintenance, draining) = (self.maintenance_state(), self.draining_endpoints());
         let descriptors = self.descriptors_in_use.get();
+        let used_ids = self.connection_ids.used();
         let Some(link) = &mut self.listener_ownership.link else { return };
         let draining = if link.peer_receives_changes { draining } else { Vec::new() };
         link.stage = RestartStage::HandedOver;
         link.peer_receives_changes = true;
+        if link.peer_receives_used_ids {
+            link.send_used_ids(&used_ids);
+        }
         link.send(HotRestartMessage::HandedOver { maintenance, draining });
         link.send(HotRestartMessage::DescriptorsInUse { descriptors });
     }
--- a/src/relay/lifecycle/hot_restart/predecessor.rs
+++ b/src/relay/lifecycle/hot_restart/predecessor.rs
@@ -40,7 +40,10 @@
 ) -> Result<Option<(TcpListener, Predecessor)>, HotRestartError> {
     let Some(mut channel) = TakeoverChannel::connect(&directory.socket_path()).await else { return Ok(None) };
     let request = async {
-        channel.send(&HotRestartMessage::Hello { receives_changes: true }, &[]).await.ok()?;
+        channel
+            .send(&HotRestartMessage::Hello { receives_changes: true, receives_used_ids: true }, &[])
+            .await
+            .ok()?;
         channel.next().await
     };
     match tokio::time::timeout(Duration::from_micros(ANSWER_TIMEOUT), request).await {
--- a/src/relay/lifecycle/hot_restart/successor.rs
+++ b/src/relay/lifecycle/hot_restart/successor.rs
@@ -52,24 +52,38 @@
             timers.sleep(ANSWER_TIMEOUT).await;
             continue;
         };
-        let Some((channel, receives_changes)) = receive_hello(stream).await else { continue };
+        let Some((channel, abilities)) = receive_hello(stream).await else { continue };
         if relay.borrow().listener_ownership.link.is_some() {
             let _ = channel.send(&HotRestartMessage::TakeoverInProgress, &[]).await;
             continue;
         }
-        let commands = relay.borrow_mut().open_link(RestartStage::Preparing, receives_changes);
+        let commands = relay.borrow_mut().open_link(RestartStage::Preparing, abilities.receives_changes);
+        if let Some(link) = &mut relay.borrow_mut().listener_ownership.link {
+            link.peer_receives_used_ids = abilities.receives_used_ids;
+        }
         let (directory, listener) = (directory.clone(), listener.clone());
         tokio::task::spawn_local(hand_over(relay.clone(), directory, listener, channel, commands));
     }
 }
 
-/// Returns the channel to a process that requests the listening socket, and whether it handles maintenance
-/// changes while it prepares; `None` if it does not send its request in time.
-async fn receive_hello(stream: UnixStream) -> Option<(TakeoverChannel, bool)> {
+/// What a successor has announced that it handles.
+#[derive(Clone, Copy, Debug)]
+struct SuccessorAbilities {
+    /// Maintenance changes while it prepares.
+    receives_changes: bool,
+    /// Ids of requests that must not run again.
+    receives_used_ids: bool,
+}
+
+/// Returns the channel to a process that requests the listening socket, and what it handles; `None` if it does not
+/// send its request in time.
+async fn receive_hello(stream: UnixStream) -> Option<(TakeoverChannel, SuccessorAbilities)> {
     let mut channel = TakeoverChannel::new(stream);
     let first = tokio::time::timeout(Duration::from_micros(ANSWER_TIMEOUT), channel.next()).await;
     match first {
-        Ok(Some(HotRestartMessage::Hello { receives_changes })) => Some((channel, receives_changes)),
+        Ok(Some(HotRestartMessage::Hello { receives_changes, receives_used_ids })) => {
+            Some((channel, SuccessorAbilities { receives_changes, receives_used_ids }))
+        }
         _ => None,
     }
 }
--- a/src/relay/limits.rs
+++ b/src/relay/limits.rs
@@ -1,9 +1,9 @@
 //! Timeouts, admission checks and readiness of the relay.
 
-use honeyknot_balancer::{Micros, RequestId};
+use honeyknot_balancer::{Idempotency, Micros, RequestId};
 
 use super::connections::protocol::OpenRequest;
-use super::{ConnectionIdGuard, NotReady, Relay};
+use super::{ConnectionIdGuard, NotReady, Relay, ReserveIdError};
 
 /// Timeout for connecting to an endpoint if the settings contain none, in microseconds.
 const DEFAULT_CONNECT_TIMEOUT: Micros = 1_000_000;
@@ -46,14 +46,32 @@
         self.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0)
     }
 
-    /// Reserves the connection id of a client's request; returns `None` if the id is open already or the
-    /// class is unknown.
+    /// Reserves the connection id of a client's request.
     ///
     /// Endpoints reject a second request with the id of an open one. Checking it here keeps a client that
-    /// reuses an id from making endpoints look faulty.
-    pub fn reserve_connection_id(&self, open: &OpenRequest) -> Option<ConnectionIdGuard> {
-        self.names.class(open.class()?)?;
-        self.open_connection_ids.reserve(open.connection_id())
+    /// reuses an id from making endpoints look faulty. A request that must not run twice is also not sent with
+    /// the id of one that has ended and may have run.
+    ///
+    /// # Errors
+    /// If the id may not be used, or the class is unknown.
+    pub fn reserve_connection_id(&self, open: &OpenRequest) -> Result<ConnectionIdGuard, ReserveIdError> {
+        self.connection_ids.reserve(open.connection_id(), self.is_repeatable(open)?)
+    }
+
+    /// Reserves the connection id of a connection that another process of this relay has transferred.
+    ///
+    /// # Errors
+    /// If the id is open already, or the class is unknown.
+    pub fn reserve_transferred_id(&self, open: &OpenRequest) -> Result<ConnectionIdGuard, ReserveIdError> {
+        self.connection_ids.reserve_established(open.connection_id(), self.is_repeatable(open)?)
+    }
+
+    /// Returns whether a request may run more than once.
+    fn is_repeatable(&self, open: &OpenRequest) -> Result<bool, ReserveIdError> {
+        let class = open.class().and_then(|name| self.names.class(name));
+        let class = class.and_then(|class| self.settings.classes.get(class.0));
+        let idempotency = class.ok_or(ReserveIdError::UnknownClass)?.idempotency;
+        Ok(idempotency == Idempotency::Idempotent)
     }
 
     /// Returns whether another request can be admitted.
--- a/src/relay/metrics/stats.rs
+++ b/src/relay/metrics/stats.rs
@@ -23,7 +23,7 @@
         json!({
             "results": results,
             "forwards": classes.iter().map(|class| count(MetricFamily::AttemptsForwarded, class)).sum::<u64>(),
-            "outstanding": self.open_connection_ids.count(),
+            "outstanding": self.connection_ids.open_count(),
             "discovered": self.maintenance.endpoint_count(),
             "ejected": self.maintenance.count_excluded(self.balancer.ejected_endpoints()),
             "list": {
--- a/src/relay/state.rs
+++ b/src/relay/state.rs
@@ -13,7 +13,8 @@
 use tracing::trace;
 
 use super::clock::Clock;
-use super::connection_table::{ConnectionTable, OpenConnectionIds};
+use super::connection_ids::ConnectionIds;
+use super::connection_table::ConnectionTable;
 use super::connections::final_writes::FinalWrites;
 use super::connections::idle::IdleConnections;
 use super::descriptors::{DescriptorCounter, connection_descriptor_limit};
@@ -48,8 +49,8 @@
     pub(in crate::relay) idle_connections: IdleConnections,
     /// Connections that have ended and whose client has not been sent its last bytes yet.
     pub(in crate::relay) final_writes: FinalWrites,
-    /// Connection ids that clients have open.
-    pub(in crate::relay) open_connection_ids: OpenConnectionIds,
+    /// Connection ids that clients have open, and those that may not be used again.
+    pub(in crate::relay) connection_ids: ConnectionIds,
     pub(in crate::relay) endpoints: EndpointTable,
     pub(in crate::relay) endpoint_list_version: u64,
     /// The endpoint list from discovery, with the endpoints in maintenance.
@@ -135,7 +136,7 @@
                 connections: ConnectionTable::default(),
                 idle_connections: IdleConnections::default(),
                 final_writes: FinalWrites::default(),
-                open_connection_ids: OpenConnectionIds::default(),
+                connection_ids: ConnectionIds::default(),
                 endpoints: EndpointTable::default(),
                 endpoint_list_version: 0,
                 maintenance: MaintenanceOverlay::default(),
--- a/tests/compatibility/relay/hot_restart.rs
+++ b/tests/compatibility/relay/hot_restart.rs
@@ -9,6 +9,7 @@
     EndedMaintenance, HotRestartMessage, MaintenanceState, OngoingMaintenance,
     StateDirectory as HotRestartDirectory,
 };
+use honeyknot_relay::relay::used_ids::ConnectionIdHash;
 use serde_json::{Value, json};
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
 use tokio::net::UnixStream;
@@ -19,6 +20,8 @@
 use super::{address, fixture, fixture_text, start_relay};
 
 const MESSAGES: &str = "hot-restart-messages.jsonl";
+/// The messages about used ids.
+const USED_ID_MESSAGES: &str = "hot-restart-used-ids.jsonl";
 const MAINTENANCE_FILE: &str = "by-hand";
 /// State directory of the relay at 127.0.0.1:1, below `$TMPDIR`.
 const STATE_DIRECTORY: &str = "honeyknot-127.0.0.1-1";
@@ -59,6 +62,7 @@
         HotRestartMessage::SetMaintenance { .. } => "hand",
         HotRestartMessage::Connection(_) => "session",
         HotRestartMessage::Confirmed { .. } => "done",
+        HotRestartMessage::UsedIds { .. } => "ran",
     }
 }
 
@@ -66,7 +70,7 @@
 fn plain_messages() -> Vec<HotRestartMessage> {
     let maintenance = recorded_maintenance();
     vec![
-        HotRestartMessage::Hello { receives_changes: false },
+        HotRestartMessage::Hello { receives_changes: false, receives_used_ids: false },
         HotRestartMessage::State { maintenance: maintenance.clone(), draining: vec!["s-4".into()] },
         HotRestartMessage::TakeoverInProgress,
         HotRestartMessage::TakeOver,
@@ -103,6 +107,19 @@
     }
 }
 
+/// The messages about used ids have a fixture of their own, as the one of the previous version never changes.
+#[test]
+fn a_message_about_used_ids_is_read_and_written_unchanged() {
+    let text = fixture_text(USED_ID_MESSAGES);
+    let messages: Vec<HotRestartMessage> = text.lines().map(decode).collect();
+    let written: String = messages.iter().map(|message| encode(message) + "\n").collect();
+    assert_eq!(written, text);
+    assert_eq!(messages.iter().map(tag).collect::<Vec<_>>(), ["hello", "ran", "ran"]);
+    // Both processes must hash an id alike, whatever their versions.
+    let message = HotRestartMessage::UsedIds { ids: vec![ConnectionIdHash::of("9b1f")] };
+    assert_eq!(encode(&message), r#"{"say":"ran","ids":[4944875925213918072]}"#);
+}
+
 /// The fields of a transferred connection that differ between the lines of the fixture.
 struct TransferredConnection {
     to_client: &'static [u8],
