--- a/src/relay/connections/line_relay.rs
+++ b/src/relay/connections/line_relay.rs
@@ -25,12 +25,6 @@
 /// Maximum delay of a connection's end while bytes in flight are sent, in microseconds.
 const FLUSH_TIMEOUT: Micros = 600_000;
 
-/// Number of reads after which a connection lets the other tasks run.
-///
-/// Waiting for readiness does not count against the runtime's budget of a task, so without this a connection
-/// whose peers send and receive at full speed would never yield.
-const READS_PER_TURN: u32 = 4;
-
 /// How an established connection ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ConnectionEnd {
@@ -155,14 +149,15 @@
     pub(super) async fn run(&mut self, commands: &mut UnboundedReceiver<ConnectionCommand>) -> ConnectionEnd {
         let check = self.timers.sleep_until(self.next_check());
         tokio::pin!(check);
-        let mut reads = 0;
+        let mut has_read = false;
         loop {
             self.flush();
             if let Some(end) = self.connection_end() {
                 return end;
             }
-            if reads >= READS_PER_TURN {
-                reads = 0;
+            // Waiting for readiness does not count against the runtime's budget of a task, so a connection whose
+            // peers send and receive at full speed would never yield by itself.
+            if std::mem::take(&mut has_read) {
                 tokio::task::yield_now().await;
             }
             tokio::select! {
@@ -173,7 +168,7 @@
                 }
                 ready = self.streams.upstream.readable(), if self.can_read_upstream() => {
                     if ready.is_ok() {
-                        reads += 1;
+                        has_read = true;
                         self.read_upstream();
                     }
                 }
@@ -186,7 +181,7 @@
                 }
                 ready = self.streams.downstream.readable(), if self.can_read_downstream() => {
                     if ready.is_ok() {
-                        reads += 1;
+                        has_read = true;
                         self.read_downstream();
                     }
                 }
