--- a/src/relay/connections/idle.rs
+++ b/src/relay/connections/idle.rs
@@ -6,7 +6,7 @@
 //! one without progress for longest first. A client on a slow link is therefore not evicted because of a flood
 //! of silent ones.
 //!
-//! Once more than [`PROTECTED_SENDERS`] have sent part of a request, and they outnumber the silent ones, they
+//! Once more than a few have sent part of a request, and they outnumber the silent ones, they
 //! are evicted before these. New clients, which are silent at first, are therefore not evicted because of a
 //! flood of requests that are never completed.
 
