Hot restart: a connection that the successor migrates leaves no entry

Its client is told to reconnect, but its entry stayed among the established connections for good: the balancer counts its load, and a shutdown of the successor waits to its last moment and reports `connections=1`.

Change: the connection is registered only once its id is reserved.

Measured: `a_client_whose_id_is_open_at_the_successor_is_told_to_reconnect_and_leaves_no_entry` fails without this change (`connections` 1, expected 0) and passes with it.

--- a/src/relay/connections/restore.rs
+++ b/src/relay/connections/restore.rs
@@ -40,8 +40,11 @@
     };
     let connection_id = relay.borrow().reserve_transferred_id(&request).ok();
     let endpoint = EndpointId(snapshot.endpoint.as_str().into());
-    let registered = relay.borrow_mut().restore_connection(&request, endpoint);
-    let (Some(connection_id), Some((id, commands))) = (connection_id, registered) else {
+    // Registered last: only the guard of a connection that is served removes its entry from the table.
+    let restored = connection_id.and_then(|connection_id| {
+        Some((connection_id, relay.borrow_mut().restore_connection(&request, endpoint)?))
+    });
+    let Some((connection_id, (id, commands))) = restored else {
         ConnectionTransfer { snapshot, downstream, upstream, resources }.migrate(&timers);
         return Err(io::Error::other("its connection id is already open here, or its class is unknown"));
     };
--- a/tests/migration_before_close.rs
+++ b/tests/migration_before_close.rs
@@ -52,6 +52,39 @@
     assert_eq!(next_lines(clients), vec!["MOVE\r\n"; 40]);
 }
 
+/// Guards against a transferred connection whose id is open at the successor: its client is told to reconnect, and
+/// nothing of it stays in the successor, whose shutdown would wait for it.
+#[test]
+fn a_client_whose_id_is_open_at_the_successor_is_told_to_reconnect_and_leaves_no_entry() {
+    let setup = RelaySetup::new("open-at-both");
+    let request = "OPEN same ksame c=study,d=1200\r\n";
+    let open = || {
+        let mut client = TcpStream::connect(setup.clients).expect("the relay accepts connections");
+        client.write_all(request.as_bytes()).expect("the request is sent");
+        client.set_read_timeout(Some(Duration::from_secs(10))).expect("the socket option is set");
+        let mut client = BufReader::new(client);
+        let mut answer = String::new();
+        client.read_line(&mut answer).expect("the answer is read");
+        assert!(answer.starts_with("UP"), "{answer}");
+        client
+    };
+    let (mut predecessor, _) = setup.start("old.log");
+    let first = open();
+    let (mut successor, _) = setup.start("new.log");
+    let second = open();
+    send_signal(&predecessor, "-TERM");
+    assert_eq!(predecessor.child.wait().expect("the process ends").code(), Some(0));
+    assert_eq!(next_lines(vec![first]), ["MOVE\r\n"]);
+    drop(second);
+    send_signal(&successor, "-TERM");
+    assert_eq!(successor.child.wait().expect("the process ends").code(), Some(0));
+    let log = fs::read_to_string(&successor.log).expect("the log is readable");
+    let finished =
+        log.lines().find(|line| line.contains("draining finished")).expect("a shutdown in the log");
+    let finished: Value = serde_json::from_str(finished).expect("the line is JSON");
+    assert_eq!(finished["connections"], 0, "{finished}");
+}
+
 /// Starts an endpoint that accepts every connection and then hangs in the middle of a line.
 fn start_endpoint_that_hangs_in_a_line() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
