--- a/src/relay/lifecycle/hot_restart/link.rs
+++ b/src/relay/lifecycle/hot_restart/link.rs
@@ -111,6 +111,9 @@
     async fn execute(&mut self, command: LinkCommand, timers: &Rc<Timers>) -> LinkState {
         match command {
             LinkCommand::Send(message) => self.send(&message, &[]).await,
+            LinkCommand::SendUsedId(id, _queued) => {
+                self.send(&HotRestartMessage::UsedIds { ids: vec![id] }, &[]).await
+            }
             LinkCommand::Transfer(transfer) => self.send_connection(*transfer, timers).await,
         }
     }
--- a/src/relay/lifecycle/hot_restart/ownership.rs
+++ b/src/relay/lifecycle/hot_restart/ownership.rs
@@ -11,12 +11,15 @@
 use super::{MaintenanceState, StateDirectory};
 use crate::relay::Relay;
 use crate::relay::connections::ConnectionTransfer;
+use crate::relay::counter::{Counter, CounterGuard};
 use crate::relay::notice::Notice;
 use crate::relay::used_ids::ConnectionIdHash;
 
 /// Descriptors that a process uses beyond those that it counts.
 const UNCOUNTED_DESCRIPTORS: usize = 16;
 
+/// Maximum number of single used ids that wait to be sent.
+const MAX_QUEUED_USED_IDS: usize = 4_096;
 /// Number of used ids in one message.
 const USED_IDS_PER_MESSAGE: usize = 1_024;
 
@@ -25,6 +28,8 @@
 pub(super) enum LinkCommand {
     /// Send a message.
     Send(HotRestartMessage),
+    /// Send a used id, which is counted until it has been sent.
+    SendUsedId(ConnectionIdHash, CounterGuard),
     /// Transfer a connection to the other process.
     Transfer(Box<ConnectionTransfer>),
 }
@@ -68,6 +73,8 @@
     pub(super) peer_receives_changes: bool,
     /// Whether the other process is told the ids of requests that must not run again.
     pub(super) peer_receives_used_ids: bool,
+    /// Number of single used ids that are queued.
+    pub(super) queued_used_ids: Counter,
     /// Maintenance changes that the other process has not confirmed yet.
     pub(super) unconfirmed: Vec<UnconfirmedChange>,
     /// In a successor that has requested the takeover: notified when the predecessor has handed over.
@@ -123,10 +130,12 @@
     }
 
     /// Tells the other process, if there is one, that a request which must not run again has been sent.
+    ///
+    /// An id is dropped while the other process hangs and [`MAX_QUEUED_USED_IDS`] wait for it already.
     pub fn send_used_id(&self, id: ConnectionIdHash) {
-        if let Some(link) = self.link.as_ref().filter(|link| link.peer_receives_used_ids) {
-            link.send(HotRestartMessage::UsedIds { ids: vec![id] });
-        }
+        let link = self.link.as_ref().filter(|link| link.peer_receives_used_ids);
+        let Some(link) = link.filter(|link| link.queued_used_ids.get() < MAX_QUEUED_USED_IDS) else { return };
+        let _ = link.commands.send(LinkCommand::SendUsedId(id, link.queued_used_ids.add_one()));
     }
 
     /// Returns whether another process of this relay accepts its clients.
@@ -146,6 +155,7 @@
             stage,
             peer_receives_changes,
             peer_receives_used_ids: false,
+            queued_used_ids: Counter::default(),
             unconfirmed: Vec::new(),
             handed_over: None,
             peer_descriptors: 0,
@@ -206,7 +216,7 @@
         };
         link.commands.send(LinkCommand::Transfer(Box::new(transfer))).map_err(|unsent| match unsent.0 {
             LinkCommand::Transfer(transfer) => transfer,
-            LinkCommand::Send(_) => unreachable!("a connection was sent"),
+            LinkCommand::Send(_) | LinkCommand::SendUsedId(..) => unreachable!("a connection was sent"),
         })
     }
 }
--- a/tests/migration_before_close.rs
+++ b/tests/migration_before_close.rs
@@ -10,19 +10,25 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::Duration;
 
-use hot_restart::{RelaySetup, endpoint_list, open_connection, send_signal};
+use hot_restart::{RelaySetup, endpoint_list, send_signal};
 use process::unused_address;
 use serde_json::Value;
 
 /// Opens connections that must be established, and returns readers of what follows.
 fn establish(setup: &RelaySetup, count: usize) -> Vec<BufReader<TcpStream>> {
-    let open = |_| {
-        let (answer, client) = open_connection(setup.clients).expect("the connection is answered");
-        assert!(answer.starts_with("UP"), "{answer}");
-        client.set_read_timeout(Some(Duration::from_secs(10))).expect("the socket option is set");
-        BufReader::new(client)
-    };
-    (0..count).map(open).collect()
+    (0..count).map(|id| open(setup, &format!("OPEN c{id} k{id} c=study,d=1200\r\n"))).collect()
+}
+
+/// Sends a request, which must establish a connection, and returns a reader of what follows.
+fn open(setup: &RelaySetup, request: &str) -> BufReader<TcpStream> {
+    let mut client = TcpStream::connect(setup.clients).expect("the relay accepts connections");
+    client.write_all(request.as_bytes()).expect("the request is sent");
+    client.set_read_timeout(Some(Duration::from_secs(10))).expect("the socket option is set");
+    let mut client = BufReader::new(client);
+    let mut answer = String::new();
+    client.read_line(&mut answer).expect("the answer is read");
+    assert!(answer.starts_with("UP"), "{answer}");
+    client
 }
 
 /// Returns the clients' next lines; an empty line stands for a connection that ended without one.
@@ -58,20 +64,10 @@
 fn a_client_whose_id_is_open_at_the_successor_is_told_to_reconnect_and_leaves_no_entry() {
     let setup = RelaySetup::new("open-at-both");
     let request = "OPEN same ksame c=study,d=1200\r\n";
-    let open = || {
-        let mut client = TcpStream::connect(setup.clients).expect("the relay accepts connections");
-        client.write_all(request.as_bytes()).expect("the request is sent");
-        client.set_read_timeout(Some(Duration::from_secs(10))).expect("the socket option is set");
-        let mut client = BufReader::new(client);
-        let mut answer = String::new();
-        client.read_line(&mut answer).expect("the answer is read");
-        assert!(answer.starts_with("UP"), "{answer}");
-        client
-    };
     let (mut predecessor, _) = setup.start("old.log");
-    let first = open();
+    let first = open(&setup, request);
     let (mut successor, _) = setup.start("new.log");
-    let second = open();
+    let second = open(&setup, request);
     send_signal(&predecessor, "-TERM");
     assert_eq!(predecessor.child.wait().expect("the process ends").code(), Some(0));
     assert_eq!(next_lines(vec![first]), ["MOVE\r\n"]);
@@ -119,17 +115,8 @@
     let (mut predecessor, _) = setup.start("old.log");
     // Long requests, so that the link's socket holds only some of the connections.
     let padding = "p".repeat(3_900);
-    let mut clients = Vec::new();
-    for id in 0..60 {
-        let mut client = TcpStream::connect(setup.clients).expect("the relay accepts connections");
-        write!(client, "OPEN h{id} k{id} c=study,d=1200,x={padding}\r\n").expect("the request is sent");
-        client.set_read_timeout(Some(Duration::from_secs(10))).expect("the socket option is set");
-        let mut client = BufReader::new(client);
-        let mut answer = String::new();
-        client.read_line(&mut answer).expect("the answer is read");
-        assert!(answer.starts_with("UP"), "{answer}");
-        clients.push(client);
-    }
+    let request = |id| format!("OPEN h{id} k{id} c=study,d=1200,x={padding}\r\n");
+    let mut clients: Vec<_> = (0..60).map(|id| open(&setup, &request(id))).collect();
     let (successor, _) = setup.start("new.log");
     send_signal(&successor, "-STOP");
     send_signal(&predecessor, "-TERM");
