Adoption: an id counts as used once its connection is adopted, not at each try

A client of a class that must not run twice, whose endpoint did not return in time, could not ask for its connection a second time and got `ERR`.

Change: the id is marked when the endpoint has accepted the connection.

--- a/src/relay/connection_events.rs
+++ b/src/relay/connection_events.rs
@@ -104,10 +104,15 @@
         })
     }
 
-    /// Records that a request has been sent to an endpoint. If it must not run twice, the other process of a hot
-    /// restart is told its id.
+    /// Records that a request has been sent to an endpoint.
     pub fn request_sent(&mut self, open: &OpenRequest, connection_id: &ConnectionIdGuard) {
         self.record_forwarded(open);
+        self.id_used(connection_id);
+    }
+
+    /// Records that a request may have run. If it must not run twice, the other process of a hot restart is told
+    /// its id.
+    pub fn id_used(&self, connection_id: &ConnectionIdGuard) {
         if let Some(id) = connection_id.mark_sent() {
             self.listener_ownership.send_used_id(id);
         }
--- a/src/relay/connections/adoption.rs
+++ b/src/relay/connections/adoption.rs
@@ -69,7 +69,7 @@
                 }
                 ClientActivity::SentData => None,
             },
-            upstream = reconnect(&self.relay, &self.request, &self.connection_id, &self.endpoint) => Some(upstream),
+            upstream = reconnect(&self.relay, &self.request, &self.endpoint) => Some(upstream),
             () = timers.sleep_until(deadline) => None,
             () = shutdown.given() => None,
         };
@@ -82,6 +82,8 @@
     }
 
     async fn establish(self, upstream: UpstreamStream) -> Option<EstablishedConnection> {
+        // Only now: a client whose endpoint did not return in time may ask for its connection again.
+        self.relay.borrow_mut().id_used(&self.connection_id);
         let adopted = self.relay.borrow_mut().adopt_connection(&self.request, self.endpoint);
         let Some((id, commands)) = adopted else {
             self.downstream.close_with(protocol::FAILED).await;
@@ -101,9 +103,7 @@
 }
 
 /// Repeats attempts to connect until the endpoint accepts the connection.
-async fn reconnect(
-    relay: &SharedRelay, request: &OpenRequest, connection_id: &ConnectionIdGuard, endpoint: &EndpointId,
-) -> UpstreamStream {
+async fn reconnect(relay: &SharedRelay, request: &OpenRequest, endpoint: &EndpointId) -> UpstreamStream {
     let timers = relay.borrow().timers.clone();
     loop {
         // Nothing is sent to an endpoint in maintenance, not even a connection that was established there.
@@ -111,7 +111,7 @@
             relay.borrow().endpoint_address(endpoint).filter(|_| !relay.borrow().in_maintenance(endpoint));
         if let Some(address) = address {
             let upstream = tokio::select! {
-                upstream = attempt::reconnect(relay, request, connection_id, endpoint, address) => upstream,
+                upstream = attempt::reconnect(relay, request, endpoint, address) => upstream,
                 () = timers.sleep(ATTEMPT_TIMEOUT) => None,
             };
             if let Some(upstream) = upstream {
--- a/src/relay/connections/attempt.rs
+++ b/src/relay/connections/attempt.rs
@@ -77,8 +77,7 @@
 /// Makes one attempt to connect a connection that was established before the relay started to its endpoint
 /// again. Returns `None` if the attempt failed.
 pub(super) async fn reconnect(
-    relay: &SharedRelay, request: &OpenRequest, connection_id: &ConnectionIdGuard, endpoint: &EndpointId,
-    address: SocketAddr,
+    relay: &SharedRelay, request: &OpenRequest, endpoint: &EndpointId, address: SocketAddr,
 ) -> Option<UpstreamStream> {
     let mut upstream = open_socket(address).await.ok()?;
     // An operator may have put the endpoint into maintenance in the meantime.
@@ -86,7 +85,7 @@
         return None;
     }
     upstream.write_all(request.as_bytes()).await.ok()?;
-    relay.borrow_mut().request_sent(request, connection_id);
+    relay.borrow_mut().record_forwarded(request);
     match read_response(relay, upstream).await {
         AttemptResult::Established(upstream) => Some(upstream),
         AttemptResult::Completed(_) | AttemptResult::Failed(..) => None,
--- a/tests/used_ids.rs
+++ b/tests/used_ids.rs
@@ -7,8 +7,10 @@
 
 use std::fs;
 use std::io::{BufRead, BufReader, Write};
-use std::net::TcpStream;
-use std::thread::sleep;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::{sleep, spawn};
 use std::time::Duration;
 
 use honeyknot_relay::relay::used_ids::{ConnectionIdHash, MAX_USED_IDS, UsedIds};
@@ -103,3 +105,54 @@
     let newest: Vec<ConnectionIdHash> = (MAX_USED_IDS..MAX_USED_IDS * 2).map(id).collect();
     assert_eq!(remembered, newest);
 }
+
+/// Guards against a client whose endpoint does not return in time and that may not ask for its connection again.
+#[test]
+fn a_client_whose_connection_could_not_be_adopted_may_ask_again() {
+    let setup = setup_with_effect("adopt-again", "at_most_once");
+    let refusing = start_endpoint_that_refuses_once();
+    let endpoints = hot_restart::endpoint_list([refusing; 3]);
+    let config = fs::read_to_string(&setup.config).expect("the configuration is readable");
+    let mut config: Value = serde_json::from_str(&config).expect("the configuration is valid");
+    config["known"] = endpoints;
+    config["discovery"] = process::unused_address().to_string().into();
+    setup.folder.write("config.json", &config.to_string());
+    let (_relay, _) = setup.start("log");
+    let request = b"OPEN ad kad c=study,d=1200,at=s-1\r\n";
+    let mut impatient = connect(&setup);
+    impatient.write_all(request).expect("the request is sent");
+    sleep(Duration::from_millis(30));
+    drop(impatient);
+    sleep(RETURN_DELAY);
+    let mut client = connect(&setup);
+    client.write_all(request).expect("the request is sent");
+    let mut answer = String::new();
+    BufReader::new(client).read_line(&mut answer).expect("the answer is read");
+    assert_eq!(answer, "UP r-1\r\n");
+}
+
+/// Starts an endpoint that answers its first request with an error and accepts all others.
+fn start_endpoint_that_refuses_once() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("the listener has an address");
+    let refused = Arc::new(AtomicBool::new(false));
+    spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let refused = refused.clone();
+            spawn(move || {
+                let mut writer = stream.try_clone().expect("the socket is cloned");
+                for line in BufReader::new(stream).lines().map_while(Result::ok) {
+                    let answer = match line.starts_with("OPEN") {
+                        true if !refused.swap(true, Ordering::Relaxed) => "ERR\r\n",
+                        true => "UP r-1\r\n",
+                        false => "PONG util=0.1,latency_ms=3,x0=0.1\r\n",
+                    };
+                    if writer.write_all(answer.as_bytes()).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    address
+}
