--- a/src/relay/lifecycle/hot_restart/ownership.rs
+++ b/src/relay/lifecycle/hot_restart/ownership.rs
@@ -131,7 +131,7 @@
 
     /// Tells the other process, if there is one, that a request which must not run again has been sent.
     ///
-    /// An id is dropped while the other process hangs and [`MAX_QUEUED_USED_IDS`] wait for it already.
+    /// An id is dropped while the other process hangs and `MAX_QUEUED_USED_IDS` wait for it already.
     pub fn send_used_id(&self, id: ConnectionIdHash) {
         let link = self.link.as_ref().filter(|link| link.peer_receives_used_ids);
         let Some(link) = link.filter(|link| link.queued_used_ids.get() < MAX_QUEUED_USED_IDS) else { return };
