Discovery: a configured list gives way to the predecessor's list of another service

By reading the merged rules again: a successor whose configuration names another discovery service kept its configuration's list, and only merged what its predecessor had been told. An endpoint that is gone, but still named there, was sent to until the new service answered.

Cause: the list of the configuration counted as the new service's, of the same generation as the predecessor's list. It is nobody's word, so any list that a service has sent now replaces it.

With it: endpoints that a full list lacks are looked up in a set, instead of the whole list once for each known endpoint.

Measured: `list_of_the_predecessor_replaces_the_configured_list_of_a_successor_with_another_service` fails without the change and passes.

--- a/crates/discovery/src/list_validation.rs
+++ b/crates/discovery/src/list_validation.rs
@@ -48,6 +48,15 @@
     recheck_at: Micros,
 }
 
+/// Who sent the newest list that was accepted in full.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ListSender {
+    /// Nobody: it is the list of the configuration, which the process started with.
+    Configuration,
+    Service,
+    Peer,
+}
+
 /// Why a response must not replace the list that the peer has sent since it was requested.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum OvertakenResponse {
@@ -73,8 +82,8 @@
     pub(crate) version: u64,
     /// Origin of the newest list that was accepted in full, from the service or from the peer.
     pub(crate) origin: ListOrigin,
-    /// Whether the list of `origin` came from the peer.
-    pub(crate) origin_is_from_peer: bool,
+    /// Who sent the list of `origin`.
+    pub(crate) sender: ListSender,
     /// Whether endpoints of the peer have been merged into the list since it was last accepted in full.
     pub(crate) has_merged: bool,
     /// The value of `origin` when the request in flight was made.
@@ -91,7 +100,7 @@
             service: None,
             version: initial.version,
             origin: ListOrigin { generation: 0, service: None, version: initial.version },
-            origin_is_from_peer: false,
+            sender: ListSender::Configuration,
             has_merged: false,
             requested_at_origin: None,
             known: BTreeMap::new(),
@@ -187,7 +196,7 @@
             &mut self.origin,
             ListOrigin { generation, service: self.service, version: list.version },
         );
-        self.origin_is_from_peer = false;
+        self.sender = ListSender::Service;
         if previous == self.origin { ListScope::Unchanged } else { ListScope::Origin(self.origin) }
     }
 
@@ -218,7 +227,7 @@
 
     /// Returns whether the peer has sent a newer list of the same service.
     fn is_behind_peer(&self, list: &EndpointList) -> bool {
-        self.origin_is_from_peer && !self.follows_other_service() && list.version < self.origin.version
+        self.sender == ListSender::Peer && !self.follows_other_service() && list.version < self.origin.version
     }
 
     /// Returns how to treat a response if the peer has sent a list since it was requested and the response must
--- a/crates/discovery/src/shared_list.rs
+++ b/crates/discovery/src/shared_list.rs
@@ -8,7 +8,7 @@
 //! - A process starts a new generation when it accepts a full list that its version does not make newer: the first
 //!   list of another service, or the list of a service that restarted long ago. The full list of a higher generation
 //!   replaces the peer's. Of two services in one generation, the successor's counts, because it is the process that
-//!   remains.
+//!   remains. A list that only the configuration gave gives way to any list of another service.
 //! - What cannot be compared is merged: endpoints that are new, draining or removed are accepted, but none that was
 //!   draining or removed becomes ready again without a restart. This is the rule for lists with an older version, too.
 //!   When the peer has gone, the full list is requested, which replaces what was merged.
@@ -17,7 +17,7 @@
 
 use honeyknot_balancer::Endpoint;
 
-use crate::list_validation::{EndpointList, ListValidator};
+use crate::list_validation::{EndpointList, ListSender, ListValidator};
 
 /// Where an endpoint list comes from, by which the lists of two processes are compared.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -104,15 +104,15 @@
                 Verdict::Known
             };
         }
-        let replaces =
-            origin.generation > self.origin.generation || is_same_generation && peer == Peer::Successor;
+        let counts_more = peer == Peer::Successor || self.sender == ListSender::Configuration;
+        let replaces = origin.generation > self.origin.generation || is_same_generation && counts_more;
         // Without the full list, it is unknown since when these are the changes.
         if replaces && report.full { Verdict::Accepted(origin) } else { Verdict::Merged }
     }
 
     fn accept_report(&mut self, origin: ListOrigin, report: ListReport) -> EndpointList {
         self.origin = origin;
-        self.origin_is_from_peer = true;
+        self.sender = ListSender::Peer;
         if report.full {
             self.older_list = None;
             self.has_merged = false;
--- a/crates/discovery/tests/shared_list.rs
+++ b/crates/discovery/tests/shared_list.rs
@@ -236,6 +236,27 @@
     }
 }
 
+/// Guards against a successor with another service that sends to an endpoint which is gone, as its configuration still
+/// names it.
+#[test]
+fn list_of_the_predecessor_replaces_the_configured_list_of_a_successor_with_another_service() {
+    let known = list(3, true, &[ready("s-1"), ready("s-2")]);
+    let mut predecessor = Process::new(Peer::Successor, &known, service(1));
+    predecessor.hear(list(4, true, &[ready("s-2")]));
+    let mut successor = Process::new(Peer::Predecessor, &known, service(2));
+    successor.change_service(service(2));
+    successor.receive(predecessor.full_report());
+    assert_eq!(successor.view, predecessor.view);
+    let report = predecessor.hear(list(5, false, &[draining("s-2")]));
+    successor.receive_some(report);
+    assert_eq!(successor.state("s-2"), Some(EndpointState::Draining));
+    // The successor's own service then counts in both.
+    let report = successor.hear(list(1, true, &[ready("s-2"), ready("s-3")]));
+    predecessor.receive_some(report);
+    assert_eq!(successor.state("s-2"), Some(EndpointState::Ready));
+    assert_eq!(successor.view, predecessor.view);
+}
+
 #[test]
 fn of_two_new_services_the_one_of_the_successor_counts_in_both_processes() {
     let (mut predecessor, mut successor) = pair();
--- a/src/relay/endpoints/endpoint_list.rs
+++ b/src/relay/endpoints/endpoint_list.rs
@@ -1,5 +1,6 @@
 //! The relay's endpoint list: discovery's list, in which endpoints in maintenance are marked as draining.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -108,9 +109,9 @@
 
     /// Marks endpoints that a full list does not contain as draining.
     fn drain_unlisted_endpoints(&mut self, listed: &[Endpoint]) {
-        let is_listed = |id: &EndpointId| listed.iter().any(|endpoint| endpoint.id == *id);
+        let listed: BTreeSet<&EndpointId> = listed.iter().map(|endpoint| &endpoint.id).collect();
         let unlisted: Vec<EndpointId> =
-            self.endpoints.with_address().filter(|id| !is_listed(id)).cloned().collect();
+            self.endpoints.with_address().filter(|id| !listed.contains(id)).cloned().collect();
         for id in &unlisted {
             self.endpoints.start_draining(id);
         }
