Hot restart: a process closes its connection to discovery before it sends its last lists and exits

Change: the discovery client is stopped first; a response that has arrived by then is applied. Only then the last lists are sent. So discovery sees a closed connection instead of one that nobody reads.

--- a/src/relay/lifecycle/graceful_shutdown.rs
+++ b/src/relay/lifecycle/graceful_shutdown.rs
@@ -112,8 +112,7 @@
     // The last lines may still be in flight; exiting now could reset their connections.
     let linger_until = timers.clock.now() + LINGER;
     timers.sleep_until(linger_until.min(schedule.exit_at())).await;
-    // What discovery has told this process until now must be known to the successor.
-    hot_restart::flush(&relay).await;
+    hot_restart::send_last_lists(&relay).await;
 }
 
 /// The release of a relay's connections during its shutdown.
--- a/src/relay/lifecycle/hot_restart/mod.rs
+++ b/src/relay/lifecycle/hot_restart/mod.rs
@@ -37,9 +37,9 @@
 pub use maintenance::{MaintenanceChange, set_maintenance};
 pub use maintenance_state::{EndedMaintenance, MaintenanceFileError, MaintenanceState, OngoingMaintenance};
 pub use message::HotRestartMessage;
-pub use ownership::{ListenerOwnership, flush};
+pub use ownership::ListenerOwnership;
 pub use predecessor::{Predecessor, connect_to_predecessor};
-pub use shared_list::SharedListMessage;
+pub use shared_list::{SharedListMessage, send_last_lists};
 pub use state_directory::{StateDirectory, open_state_directory};
 use takeover_channel::TakeoverChannel;
 
--- a/src/relay/lifecycle/hot_restart/ownership.rs
+++ b/src/relay/lifecycle/hot_restart/ownership.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::rc::Rc;
 
-use honeyknot_balancer::{EndpointId, Micros};
+use honeyknot_balancer::EndpointId;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::sync::oneshot;
 use tokio::task::AbortHandle;
@@ -11,17 +11,15 @@
 use super::message::HotRestartMessage;
 use super::pending_lists::PendingLists;
 use super::{MaintenanceState, StateDirectory};
+use crate::relay::Relay;
 use crate::relay::connections::ConnectionTransfer;
 use crate::relay::counter::{Counter, CounterGuard};
 use crate::relay::notice::Notice;
 use crate::relay::used_ids::ConnectionIdHash;
-use crate::relay::{Relay, SharedRelay};
 
 /// Descriptors that a process uses beyond those that it counts.
 const UNCOUNTED_DESCRIPTORS: usize = 16;
 
-/// Maximum time for sending what is queued before the process exits, in microseconds.
-const FLUSH_TIMEOUT: Micros = 100_000;
 /// Maximum number of single used ids that wait to be sent.
 const MAX_QUEUED_USED_IDS: usize = 4_096;
 /// Number of used ids in one message.
@@ -158,23 +156,6 @@
     }
 }
 
-/// Waits until everything that is queued for the other process has been sent, at most for `FLUSH_TIMEOUT`.
-pub async fn flush(relay: &SharedRelay) {
-    let flushed = {
-        let relay = relay.borrow();
-        let Some(link) = &relay.listener_ownership.link else { return };
-        let (sender, flushed) = oneshot::channel();
-        let _ = link.commands.send(LinkCommand::Flush(sender));
-        flushed
-    };
-    let timers = relay.borrow().timers.clone();
-    tokio::select! {
-        // An error means that the link has closed.
-        _ = flushed => {}
-        () = timers.sleep(FLUSH_TIMEOUT) => {}
-    }
-}
-
 impl Relay {
     /// Opens this process's end of a link, and returns the receiver of its commands.
     pub(super) fn open_link(
--- a/src/relay/lifecycle/hot_restart/shared_list.rs
+++ b/src/relay/lifecycle/hot_restart/shared_list.rs
@@ -3,19 +3,23 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
-use honeyknot_balancer::EndpointId;
+use honeyknot_balancer::{EndpointId, Micros};
 use honeyknot_discovery::{ListOrigin, ListScope, Peer};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
+use tokio::sync::oneshot;
 
 use super::ownership::LinkCommand;
-use crate::relay::Relay;
 use crate::relay::endpoints::discovery_client::{
     DiscoveryCommand, EndpointListError, EndpointListUpdate, SharedList, encode_endpoint_list,
     parse_endpoint_list,
 };
+use crate::relay::{Relay, SharedRelay};
 use crate::settings::NameTable;
 
+/// Maximum time for sending the last lists before the process exits, in microseconds.
+const LAST_LISTS_TIMEOUT: Micros = 100_000;
+
 /// An endpoint list, or changes to one, that the sending process has accepted.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct SharedListMessage {
@@ -53,6 +57,34 @@
     }
 }
 
+/// Ends the discovery client of a process that is about to exit, and sends all that discovery has told it to the other
+/// process, if there is one, within `LAST_LISTS_TIMEOUT`.
+///
+/// The connection to discovery is closed first, so that discovery tells this process nothing that it cannot pass on.
+pub async fn send_last_lists(relay: &SharedRelay) {
+    if relay.borrow().listener_ownership.link.is_none() {
+        return;
+    }
+    let timers = relay.borrow().timers.clone();
+    tokio::select! {
+        () = stop_discovery_and_flush(relay) => {}
+        () = timers.sleep(LAST_LISTS_TIMEOUT) => {}
+    }
+}
+
+async fn stop_discovery_and_flush(relay: &SharedRelay) {
+    let (sender, stopped) = oneshot::channel();
+    relay.borrow().send_discovery_command(DiscoveryCommand::Stop(sender));
+    // An error is expected: the sender is dropped.
+    let _ = stopped.await;
+    let (sender, sent) = oneshot::channel();
+    if let Some(link) = &relay.borrow().listener_ownership.link {
+        let _ = link.commands.send(LinkCommand::Flush(sender));
+    }
+    // An error means that the link has closed.
+    let _ = sent.await;
+}
+
 impl Relay {
     /// Returns the endpoint list of this process for a successor.
     pub(super) fn shared_list_message(&self) -> SharedListMessage {
