Discovery: commands of the client and the known endpoints are modules of their own

`discovery_client/command.rs` has the commands and what they do to the request in flight; `known_endpoints.rs` in `crates/discovery` has the endpoints that older lists are checked against. Moved, not changed.

Measured: the tests of `crates/discovery` and of the endpoint list during a hot restart pass as before.

--- a/crates/discovery/src/lib.rs
+++ b/crates/discovery/src/lib.rs
@@ -20,6 +20,7 @@
 mod backoff;
 mod config;
 mod error;
+mod known_endpoints;
 mod list_validation;
 pub mod notification_deadline;
 mod poller;
--- a/crates/discovery/src/list_validation.rs
+++ b/crates/discovery/src/list_validation.rs
@@ -12,22 +12,16 @@
 //! While two processes of a relay run, each also receives the lists that the other one has accepted, see
 //! [`shared_list`](crate::shared_list).
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use honeyknot_balancer::{Endpoint, EndpointId, EndpointState, Micros};
+use honeyknot_balancer::{Endpoint, Micros};
 
+use crate::known_endpoints::KnownEndpoints;
 use crate::shared_list::{ListOrigin, ListScope};
 
 /// Time that a restarted service is given to fill its list before endpoints that the list does not name are
 /// removed, in microseconds.
 const GRACE_PERIOD: Micros = 12_000_000;
-/// Maximum number of known endpoints, including removed ones, for each listed endpoint.
-const MAX_KNOWN_PER_LISTED: usize = 4;
-/// Number added to the listed endpoints when the limit on known endpoints is computed, so that a short list
-/// does not make the limit tiny.
-const LISTED_ALLOWANCE: usize = 16;
-
 /// An endpoint list, or the changes to one.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct EndpointList {
@@ -66,12 +60,6 @@
     Uncomparable,
 }
 
-#[derive(Debug)]
-struct KnownEndpoint {
-    state: EndpointState,
-    started_at: Micros,
-}
-
 /// Validates endpoint lists against the endpoints known so far.
 #[derive(Debug)]
 pub(crate) struct ListValidator {
@@ -88,7 +76,7 @@
     pub(crate) has_merged: bool,
     /// The value of `origin` when the request in flight was made.
     requested_at_origin: Option<ListOrigin>,
-    known: BTreeMap<EndpointId, KnownEndpoint>,
+    pub(crate) known: KnownEndpoints,
     pub(crate) older_list: Option<OlderList>,
     /// Whether another service, whose version numbers are unrelated, was configured and has not answered yet.
     service_changed: bool,
@@ -103,11 +91,11 @@
             sender: ListSender::Configuration,
             has_merged: false,
             requested_at_origin: None,
-            known: BTreeMap::new(),
+            known: KnownEndpoints::default(),
             older_list: None,
             service_changed: false,
         };
-        validator.record(initial);
+        validator.known.record(initial);
         validator
     }
 
@@ -180,7 +168,7 @@
                 self.has_merged = false;
             }
             self.version = list.version;
-            self.record(&list);
+            self.known.record(&list);
             return (list, scope);
         }
         self.schedule_recheck(now, recheck_delay);
@@ -209,9 +197,9 @@
 
     /// Accepts the endpoints of a list that are accepted whatever its version.
     pub(crate) fn merge(&mut self, endpoints: Vec<Endpoint>) -> EndpointList {
-        let endpoints = endpoints.into_iter().filter(|endpoint| self.accepts_endpoint(endpoint)).collect();
+        let endpoints = endpoints.into_iter().filter(|endpoint| self.known.accepts(endpoint)).collect();
         let accepted = EndpointList { version: self.version, full: false, endpoints };
-        self.record(&accepted);
+        self.known.record(&accepted);
         accepted
     }
 
@@ -263,33 +251,4 @@
             Some(_) => {}
         }
     }
-
-    /// Returns whether an endpoint of an older list is accepted.
-    fn accepts_endpoint(&self, endpoint: &Endpoint) -> bool {
-        let Some(known) = self.known.get(&endpoint.id) else { return true };
-        if endpoint.state != EndpointState::Ready {
-            return true;
-        }
-        match known.state {
-            EndpointState::Ready => endpoint.started_at >= known.started_at,
-            EndpointState::Draining | EndpointState::Removed => endpoint.started_at > known.started_at,
-        }
-    }
-
-    /// Records an accepted list.
-    ///
-    /// A limited number of removed endpoints stays known, so that an older list cannot add them again.
-    pub(crate) fn record(&mut self, list: &EndpointList) {
-        if list.full {
-            self.known.values_mut().for_each(|known| known.state = EndpointState::Removed);
-        }
-        for endpoint in &list.endpoints {
-            let known = KnownEndpoint { state: endpoint.state, started_at: endpoint.started_at };
-            self.known.insert(endpoint.id.clone(), known);
-        }
-        let listed = self.known.values().filter(|known| known.state != EndpointState::Removed).count();
-        if self.known.len() > MAX_KNOWN_PER_LISTED * (listed + LISTED_ALLOWANCE) {
-            self.known.retain(|_, known| known.state != EndpointState::Removed);
-        }
-    }
 }
--- a/crates/discovery/src/shared_list.rs
+++ b/crates/discovery/src/shared_list.rs
@@ -122,7 +122,7 @@
             self.version = origin.version;
         }
         let list = EndpointList { version: origin.version, full: report.full, endpoints: report.endpoints };
-        self.record(&list);
+        self.known.record(&list);
         list
     }
 
--- a/src/relay/endpoints/discovery_client/shared_list.rs
+++ b/src/relay/endpoints/discovery_client/shared_list.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use honeyknot_balancer::EndpointId;
-use honeyknot_discovery::{ListOrigin, ListReport};
+use honeyknot_discovery::{EndpointList, ListOrigin, ListReport};
 
 use super::list_codec::EndpointListUpdate;
 
@@ -44,3 +44,13 @@
         (ListReport { origin: self.origin, full, endpoints }, addresses)
     }
 }
+
+/// Returns an accepted list with the addresses of its endpoints.
+pub(super) fn with_addresses(
+    accepted: EndpointList, mut addresses: Vec<(EndpointId, SocketAddr)>,
+) -> EndpointListUpdate {
+    let EndpointList { version, full, endpoints } = accepted;
+    let named: BTreeSet<&EndpointId> = endpoints.iter().map(|endpoint| &endpoint.id).collect();
+    addresses.retain(|(id, _)| named.contains(id));
+    EndpointListUpdate { version, full, endpoints, addresses }
+}
--- a/src/relay/endpoints/discovery_client/task.rs
+++ b/src/relay/endpoints/discovery_client/task.rs
@@ -1,57 +1,27 @@
 //! The task that polls discovery while the relay runs.
 
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use honeyknot_balancer::{DiscoveryMode, EndpointId, Micros, Settings};
+use honeyknot_balancer::{DiscoveryMode, Micros, Settings};
 use honeyknot_discovery::{
-    DiscoveryConfig, DiscoveryPoller, DiscoveryRequest, DiscoveryState, EndpointList, Peer, Poll,
+    DiscoveryConfig, DiscoveryPoller, DiscoveryRequest, DiscoveryState, EndpointList, Poll,
 };
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::oneshot;
 use tracing::{info, warn};
 
+use super::command::{DiscoveryCommand, Interruption, handle_command, next_interruption};
 use super::connection::DiscoveryConnection;
 use super::error::DiscoveryError;
 use super::list_codec::{EndpointListUpdate, parse_endpoint_list};
-use super::shared_list::SharedList;
+use super::shared_list::with_addresses;
 use crate::relay::SharedRelay;
 use crate::relay::timer_wheel::Timers;
 
 /// Makes the poller's random numbers differ from the balancer's, which has the same seed.
 const SEED_SALT: u64 = 0x115_7e4;
 
-/// A command to the discovery client.
-#[derive(Debug)]
-pub enum DiscoveryCommand {
-    /// Request the full endpoint list once.
-    FetchFullList,
-    /// Use this address of discovery from now on.
-    ChangeAddress(SocketAddr),
-    /// Record that an endpoint listed as ready refused a connection.
-    ConnectionRefused,
-    /// Accept what is newer in a list of the other process of this relay.
-    ReceiveSharedList(Peer, SharedList),
-    /// The other process of this relay has ended.
-    ForgetPeer,
-    /// Close the connection and end the client, once a response that has already arrived is applied. The sender is
-    /// dropped after that.
-    Stop(oneshot::Sender<()>),
-}
-
-/// Why the request in flight is abandoned.
-enum Interruption {
-    /// Discovery's address has changed to this one.
-    AddressChanged(SocketAddr),
-    /// The full list must be fetched at once.
-    FullListNeeded,
-    /// The client must end; the sender is dropped once it has.
-    Stopped(oneshot::Sender<()>),
-    /// The endpoint list is stale, although the watch in flight should have reported a change.
-    StaleList,
-}
-
 /// How a request ended.
 enum PollOutcome {
     Completed(Result<EndpointListUpdate, DiscoveryError>),
@@ -215,50 +185,6 @@
     }
 }
 
-/// Handles a command. Returns why a request in flight must be abandoned, or `None` if it need not be.
-fn handle_command(
-    command: DiscoveryCommand, poller: &mut DiscoveryPoller, relay: &SharedRelay, now: Micros,
-) -> Option<Interruption> {
-    match command {
-        DiscoveryCommand::FetchFullList => {
-            poller.request_full_list();
-            None
-        }
-        DiscoveryCommand::ConnectionRefused => {
-            poller.connection_refused(now).then_some(Interruption::StaleList)
-        }
-        DiscoveryCommand::ChangeAddress(address) => Some(Interruption::AddressChanged(address)),
-        DiscoveryCommand::ReceiveSharedList(peer, list) => {
-            receive_shared_list(poller, relay, peer, list);
-            None
-        }
-        DiscoveryCommand::Stop(stopped) => Some(Interruption::Stopped(stopped)),
-        DiscoveryCommand::ForgetPeer => poller.depends_on_peer().then_some(Interruption::FullListNeeded),
-    }
-}
-
-/// Applies the part of the other process's list that the poller accepts.
-fn receive_shared_list(poller: &mut DiscoveryPoller, relay: &SharedRelay, peer: Peer, list: SharedList) {
-    let (report, addresses) = list.into_report();
-    let accepted = poller.receive_report(peer, report);
-    let mut relay = relay.borrow_mut();
-    relay.list_origin = poller.origin();
-    relay.apply_shared_list(with_addresses(accepted, addresses));
-}
-
-/// Handles commands until one interrupts the request in flight. Returns `None` once the relay has stopped.
-async fn next_interruption(
-    commands: &mut UnboundedReceiver<DiscoveryCommand>, poller: &mut DiscoveryPoller, relay: &SharedRelay,
-) -> Option<Interruption> {
-    let timers = relay.borrow().timers.clone();
-    loop {
-        let command = commands.recv().await?;
-        if let Some(interruption) = handle_command(command, poller, relay, timers.clock.now()) {
-            return Some(interruption);
-        }
-    }
-}
-
 async fn fetch_list(
     connection: &mut DiscoveryConnection, relay: &SharedRelay, path: &str, timeout: Micros,
 ) -> Result<EndpointListUpdate, DiscoveryError> {
@@ -282,13 +208,3 @@
     let EndpointListUpdate { version, full, endpoints, addresses } = update;
     with_addresses(poller.poll_succeeded(now, EndpointList { version, full, endpoints }), addresses)
 }
-
-/// Returns an accepted list with the addresses of its endpoints.
-fn with_addresses(
-    accepted: EndpointList, mut addresses: Vec<(EndpointId, SocketAddr)>,
-) -> EndpointListUpdate {
-    let EndpointList { version, full, endpoints } = accepted;
-    let named: BTreeSet<&EndpointId> = endpoints.iter().map(|endpoint| &endpoint.id).collect();
-    addresses.retain(|(id, _)| named.contains(id));
-    EndpointListUpdate { version, full, endpoints, addresses }
-}
