Hot restart: the link receives while it sends, and handles what an ended process has sent

What operators would have seen: two processes that send each other lists longer than the socket holds (some 200 KB, so from about 1,200 endpoints on; for example after SIGHUP to both) wait for each other for good, and with them maintenance, the handover and the transfer of connections. And a last list, transfer or used id was lost if the other process was sending something itself when its sender ended.

Cause: the link sent a message whole before it read again, and a failed send ended it with messages unread. Both were so before lists were shared, but no message was long, and no process sent until its last moment.

Change: while a message is sent, what arrives is received. After a failed send the received messages are handled before the link ends.

Measured: `process_receives_while_it_sends_a_long_list` (hangs until its limit of 60 s) and `last_list_of_a_process_that_has_ended_counts` fail without the change and pass with it.

--- a/src/relay/lifecycle/hot_restart/link.rs
+++ b/src/relay/lifecycle/hot_restart/link.rs
@@ -28,13 +28,16 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum LinkState {
     Open,
+    /// The other process has closed the channel; messages that it sent before may not be handled yet.
+    Broken,
+    /// Nothing more is sent or received.
     Closed,
 }
 
 impl LinkState {
     /// Returns the link's state after an attempt to send.
     fn after_send(result: std::io::Result<()>) -> LinkState {
-        if result.is_ok() { LinkState::Open } else { LinkState::Closed }
+        if result.is_ok() { LinkState::Open } else { LinkState::Broken }
     }
 }
 
@@ -99,11 +102,21 @@
                 }
             };
         }
+        if state == LinkState::Broken {
+            self.handle_last_messages().await;
+        }
+    }
+
+    /// Handles what the other process has sent before it closed the channel.
+    async fn handle_last_messages(&mut self) {
+        while let Some(message) = self.channel.next().await {
+            self.handle_message(message);
+        }
     }
 
     /// Sends a message with descriptors. A process that hangs may never receive it, so the end of the
     /// transfers also ends the attempt, and with it the link.
-    async fn send(&self, message: &HotRestartMessage, descriptors: &[BorrowedFd<'_>]) -> LinkState {
+    async fn send(&mut self, message: &HotRestartMessage, descriptors: &[BorrowedFd<'_>]) -> LinkState {
         tokio::select! {
             biased;
             sent = self.channel.send(message, descriptors) => LinkState::after_send(sent),
@@ -126,28 +139,29 @@
         }
     }
 
-    async fn send_lists(&self) -> LinkState {
+    async fn send_lists(&mut self) -> LinkState {
         let lists = self.relay.borrow_mut().take_pending_lists();
         for list in lists {
-            if self.send(&HotRestartMessage::EndpointList(list), &[]).await == LinkState::Closed {
-                return LinkState::Closed;
+            let state = self.send(&HotRestartMessage::EndpointList(list), &[]).await;
+            if state != LinkState::Open {
+                return state;
             }
         }
         LinkState::Open
     }
 
     /// Sends a connection to the other process; if that fails, its client is migrated.
-    async fn send_connection(&self, transfer: ConnectionTransfer, timers: &Rc<Timers>) -> LinkState {
+    async fn send_connection(&mut self, transfer: ConnectionTransfer, timers: &Rc<Timers>) -> LinkState {
         let sockets = [transfer.downstream.as_fd(), transfer.upstream.as_fd()];
         let message = HotRestartMessage::Connection(transfer.snapshot.clone());
         let state = self.send(&message, &sockets).await;
-        if state == LinkState::Closed {
+        if state != LinkState::Open {
             transfer.migrate(timers);
         }
         state
     }
 
-    async fn report_descriptors(&self) -> LinkState {
+    async fn report_descriptors(&mut self) -> LinkState {
         let descriptors = self.relay.borrow().descriptors_in_use.get();
         self.send(&HotRestartMessage::DescriptorsInUse { descriptors }, &[]).await
     }
--- a/src/relay/lifecycle/hot_restart/pending_lists.rs
+++ b/src/relay/lifecycle/hot_restart/pending_lists.rs
@@ -1,7 +1,7 @@
 //! The endpoint lists that wait to be sent to the other process.
 //!
-//! Later lists are added to those that wait, so that a process that hangs causes no more memory to be used than the
-//! endpoint list takes.
+//! Later lists are added to those that wait, so that for a process that hangs only the last state of each endpoint named
+//! meanwhile is kept.
 
 use crate::relay::endpoints::discovery_client::SharedList;
 
--- a/src/relay/lifecycle/hot_restart/successor.rs
+++ b/src/relay/lifecycle/hot_restart/successor.rs
@@ -52,7 +52,7 @@
             timers.sleep(ANSWER_TIMEOUT).await;
             continue;
         };
-        let Some((channel, abilities)) = receive_hello(stream).await else { continue };
+        let Some((mut channel, abilities)) = receive_hello(stream).await else { continue };
         if relay.borrow().listener_ownership.link.is_some() {
             let _ = channel.send(&HotRestartMessage::TakeoverInProgress, &[]).await;
             continue;
@@ -93,8 +93,8 @@
 }
 
 async fn hand_over(
-    relay: SharedRelay, directory: Rc<StateDirectory>, listener: Rc<TcpListener>, channel: TakeoverChannel,
-    commands: UnboundedReceiver<LinkCommand>,
+    relay: SharedRelay, directory: Rc<StateDirectory>, listener: Rc<TcpListener>,
+    mut channel: TakeoverChannel, commands: UnboundedReceiver<LinkCommand>,
 ) {
     info!(target: "hot_restart", "successor connected");
     let state = relay.borrow().takeover_state();
--- a/src/relay/lifecycle/hot_restart/takeover_channel.rs
+++ b/src/relay/lifecycle/hot_restart/takeover_channel.rs
@@ -45,16 +45,30 @@
 
     /// Sends a message together with descriptors, at most [`MAX_DESCRIPTORS`].
     ///
+    /// Meanwhile, what arrives is received, so that two processes that send each other long messages do not wait for
+    /// each other.
+    ///
     /// # Errors
     /// If the channel is closed, or the message cannot be encoded.
     pub(super) async fn send(
-        &self, message: &HotRestartMessage, descriptors: &[BorrowedFd<'_>],
+        &mut self, message: &HotRestartMessage, descriptors: &[BorrowedFd<'_>],
     ) -> io::Result<()> {
         let mut bytes = serde_json::to_vec(message)?;
         bytes.push(b'\n');
         let (mut unsent, mut descriptors) = (&bytes[..], descriptors);
         while !unsent.is_empty() {
-            self.stream.writable().await?;
+            let interest = if self.received.len() < MAX_MESSAGE_BYTES {
+                Interest::READABLE | Interest::WRITABLE
+            } else {
+                Interest::WRITABLE
+            };
+            let ready = self.stream.ready(interest).await?;
+            if ready.is_readable() && !self.receive_available()? {
+                return Err(io::ErrorKind::BrokenPipe.into());
+            }
+            if !ready.is_writable() {
+                continue;
+            }
             match self.stream.try_io(Interest::WRITABLE, || send_once(&self.stream, unsent, descriptors)) {
                 // The descriptors were sent with the message's first bytes.
                 Ok(count) => (unsent, descriptors) = (&unsent[count..], &[]),
@@ -84,15 +98,22 @@
                 return None;
             }
             self.stream.readable().await.ok()?;
-            match self.stream.try_io(Interest::READABLE, || receive(&self.stream)) {
-                Ok((bytes, _)) if bytes.is_empty() => return None,
-                Ok((bytes, descriptors)) => {
-                    self.received.extend_from_slice(&bytes);
-                    self.descriptors.extend(descriptors);
-                }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                Err(_) => return None,
+            if !self.receive_available().ok()? {
+                return None;
+            }
+        }
+    }
+
+    /// Receives what has arrived. Returns `false` if the other end has closed the channel.
+    fn receive_available(&mut self) -> io::Result<bool> {
+        match self.stream.try_io(Interest::READABLE, || receive(&self.stream)) {
+            Ok((bytes, descriptors)) => {
+                self.received.extend_from_slice(&bytes);
+                self.descriptors.extend(descriptors);
+                Ok(!bytes.is_empty())
             }
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(true),
+            Err(error) => Err(error),
         }
     }
 }
--- a/tests/shared_endpoint_list.rs
+++ b/tests/shared_endpoint_list.rs
@@ -258,6 +258,48 @@
     });
 }
 
+/// Starts a predecessor that has more to send than the channel holds, and a successor that does not read it.
+async fn start_with_long_list(scene: &Scene) -> (Relay, Peer) {
+    let (relay, successor, _) = scene.start_predecessor(HELLO).await;
+    let address = scene.list["servers"][1]["addr"].clone();
+    scene.discovery.answer(discovery::Answered::Only(usize::MAX));
+    for index in 0..2_000 {
+        let id = format!("{index}-{}", "x".repeat(1_000));
+        scene.discovery.change(&id, json!({"addr": address.clone(), "state": "leaving"}));
+    }
+    scene.discovery.answer(discovery::Answered::All);
+    while !relay.admin_command("stats\n").await.contains("\"discovered\":2003") {
+        sleep(Duration::from_millis(10)).await;
+    }
+    (relay, successor)
+}
+
+/// Guards against two processes that wait for each other because each sends more than the channel holds.
+#[test]
+fn process_receives_while_it_sends_a_long_list() {
+    run_case(async {
+        let scene = Scene::new("list-long");
+        let (relay, mut successor) = start_with_long_list(&scene).await;
+        let mut report = scene.report(9_000, json!([scene.entry(0, "leaving")]));
+        report["list"]["comment"] = "x".repeat(2 << 20).into();
+        successor.send(report).await;
+        successor.receive(&["list"]).await;
+        wait_for_used(relay.address, &["r-2", "r-3"]).await;
+    });
+}
+
+/// Guards against a last message that is dropped because its sender has ended while this process was sending.
+#[test]
+fn last_list_of_a_process_that_has_ended_counts() {
+    run_case(async {
+        let scene = Scene::new("list-last");
+        let (relay, mut successor) = start_with_long_list(&scene).await;
+        successor.send(scene.report(9_000, json!([scene.entry(0, "leaving")]))).await;
+        drop(successor);
+        wait_for_used(relay.address, &["r-2", "r-3"]).await;
+    });
+}
+
 /// Guards against a successor that ignores what its predecessor hears of between the successor's first answer from
 /// discovery and the handover.
 #[test]
